--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 DEPLOYMENT ?= tamsui
-PACKAGES := policy wire entry operator standins bench
+PACKAGES := policy wire rollouts entry operator standins bench
 
 .PHONY: setup demo test lint format bench
 
--- /dev/null
+++ b/packages/policy/sequoia_policy/presences.py
@@ -0,0 +1,108 @@
+"""Which hosts live, judged by the heartbeats that they leave in the table."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from attrs import define, field, frozen
+
+HEARTBEAT_PERIOD = timedelta(milliseconds=400)
+DEAD_AFTER = timedelta(milliseconds=1400)
+LEASE = timedelta(milliseconds=1000)  # shorter than DEAD_AFTER
+LONGEST_GAP = timedelta(milliseconds=1200)  # between two reads that count
+FORGET_AFTER = timedelta(seconds=60)
+ADOPTION_STEP = timedelta(milliseconds=200)
+
+
+@frozen
+class Heartbeat:
+    """What a host writes to show that it lives.
+
+    Attributes:
+        host: Name of the host.
+        boot: Differs with each start of the host's process.
+        count: Grows with each heartbeat.
+        draining: Whether the host is about to stop.
+    """
+
+    host: str
+    boot: str
+    count: int
+    draining: bool = False
+
+    @property
+    def owner(self) -> str:
+        """The name under which this process owns things."""
+        return name_owner(self.host, self.boot)
+
+
+@define
+class Sighting:
+    """The newest heartbeat of a host and when it was first read."""
+
+    heartbeat: Heartbeat
+    since: timedelta
+
+
+def name_owner(host: str, boot: str) -> str:
+    """Return the name of one process of a host."""
+    return f'{host}/{boot}'
+
+
+@define
+class PresenceTable:
+    """All heartbeats, as one host reads them.
+
+    Time counts against a host only while this one reads the table: after a
+    gap all hosts have their full time again.
+    """
+
+    sightings: dict[str, Sighting] = field(factory=dict)
+    last_read: timedelta | None = None
+
+    def update(self, heartbeats: Iterable[Heartbeat], now: timedelta) -> None:
+        """Take a whole reading of the table."""
+        if self.last_read is None or now - self.last_read > LONGEST_GAP:
+            self.restart(now)
+        self.last_read = now
+        for heartbeat in heartbeats:
+            self.take(heartbeat, now)
+
+    def take(self, heartbeat: Heartbeat, now: timedelta) -> None:
+        """Take one heartbeat; older ones of the same boot count nothing."""
+        known = self.sightings.get(heartbeat.host)
+        if known and known.heartbeat.boot == heartbeat.boot:
+            if heartbeat.count <= known.heartbeat.count:
+                return
+        self.sightings[heartbeat.host] = Sighting(heartbeat, now)
+
+    def restart(self, now: timedelta) -> None:
+        """Give all hosts their full time again."""
+        for sighting in self.sightings.values():
+            sighting.since = now
+
+    def is_dead(self, owner: str, now: timedelta) -> bool:
+        """Tell whether the process called ``owner`` lives no more."""
+        host = owner.rpartition('/')[0]
+        sighting = self.sightings.get(host)
+        if sighting is None:
+            return self.last_read is not None
+        if sighting.heartbeat.owner != owner:
+            return True
+        return now - sighting.since > DEAD_AFTER
+
+    def live_owners(self, now: timedelta) -> list[str]:
+        """Return the processes that live and are not about to stop."""
+        return [
+            sighting.heartbeat.owner
+            for sighting in self.sightings.values()
+            if not sighting.heartbeat.draining
+            and now - sighting.since <= DEAD_AFTER
+        ]
+
+    def long_gone(self, now: timedelta) -> list[str]:
+        """Return the hosts whose heartbeats can be removed."""
+        return [
+            host
+            for host, sighting in self.sightings.items()
+            if now - sighting.since > FORGET_AFTER
+        ]
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""The host process over a shared store: live requests, rollouts, weights."""
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/desks.py
@@ -0,0 +1,316 @@
+"""Answers callers about submissions: accept, read, body, end."""
+
+from datetime import timedelta
+
+import curio
+from attrs import define, evolve, field, frozen
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.submissions import ItemResult, Ownership, Submission
+from sequoia_policy.verdicts import Verdict
+from sequoia_wire.logs import Log
+
+from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.owners import OwnedSubmission, OwnershipBoard
+from sequoia_rollouts.recorders import Recorder
+from sequoia_rollouts.runners import RunnerParts, SubmissionRunner
+from sequoia_rollouts.stores import (
+    ABSENT,
+    Committer,
+    ConflictError,
+    Guard,
+    RowRange,
+    Store,
+    Transaction,
+    read_all,
+)
+from sequoia_rollouts.tables import (
+    join_results,
+    join_specification,
+    results_range,
+    specification_range,
+    submission_key,
+    write_ownership,
+    write_specification,
+)
+
+ACCEPT_PATIENCE = timedelta(milliseconds=2500)
+END_PATIENCE = timedelta(milliseconds=2500)
+READ_PERIOD = timedelta(milliseconds=120)
+RETRY_AFTER = timedelta(milliseconds=500)
+STATUS_SPAN = timedelta(seconds=120)
+PAGE_BYTES = 700_000  # of one answer with results
+START_PAUSE = timedelta(milliseconds=200)
+
+log = Log('submission')
+
+
+@frozen
+class ResultPage:
+    """Results of a submission from a position on."""
+
+    total: int
+    after: int
+    results: tuple[ItemResult, ...] = field(repr=False)
+
+
+@define
+class SubmissionDesk:
+    """Accepts submissions, runs those it owns, and answers about all.
+
+    Attributes:
+        runners: Submissions that run here, by id.
+        starting: Submissions that are about to run here.
+    """
+
+    store: Store
+    clock: Clock
+    directory: Directory
+    parts: RunnerParts
+    board: OwnershipBoard
+    runners: dict[str, SubmissionRunner] = field(factory=dict)
+    starting: set[str] = field(factory=set)
+
+    async def accept(self, submission: Submission) -> None:
+        """Keep a submission; return once it cannot be lost.
+
+        Raises:
+            ShedError: With verdict NOT_RUN only if no item runs.
+        """
+        if submission.id in self.board.submissions:
+            return
+        ownership = await self._keep(submission)
+        if ownership is None:
+            return
+        await self.board.note(ownership)
+        log.write(
+            'submission accepted',
+            submission=submission.id,
+            items=len(submission.items),
+            step=submission.step,
+            owner=ownership.ownership.owner,
+        )
+
+    async def read(
+        self,
+        submission_id: str,
+        after: int,
+        patience: timedelta,
+    ) -> ResultPage:
+        """Return the results from a position on.
+
+        Raises:
+            ShedError: With code UNKNOWN_STEP only if there is surely no such
+                submission.
+        """
+        end = self.clock.elapsed() + patience
+        owned = await self._find(submission_id)
+        total = owned.ownership.total
+        found: tuple[ItemResult, ...] = ()
+        while after < total and not found:
+            found = await self._read_once(submission_id, after, end)
+            if self.clock.elapsed() + READ_PERIOD >= end:
+                break
+            if not found:
+                await curio.sleep(READ_PERIOD.total_seconds())
+        return ResultPage(total, after, found)
+
+    async def read_body(self, submission_id: str, item_id: str) -> bytes:
+        """Return the body of an item.
+
+        Raises:
+            ShedError: With code UNKNOWN_STEP only if there is surely no such
+                item.
+        """
+        runner = self.runners.get(submission_id)
+        if runner:
+            submission = runner.submission
+        else:
+            await self._find(submission_id)
+            submission = await self._read_submission(submission_id)
+        item = submission.find_item(item_id)
+        if item is None:
+            raise ShedError(Code.UNKNOWN_STEP, item_id)
+        return item.body
+
+    async def end(self, submission_id: str) -> None:
+        """Stop a submission; return once the store has that.
+
+        Raises:
+            ShedError: If the store does not take it.
+        """
+        stop_at = self.clock.elapsed() + END_PATIENCE
+        owned = await self._find(submission_id)
+        while not owned.ownership.ended:
+            ended = evolve(owned.ownership, ended=True)
+            owned = await self._write_end(owned, ended, stop_at)
+
+    async def take_change(self, owned: OwnedSubmission) -> None:
+        """Start or stop work after a change of ownership."""
+        runner = self.runners.get(owned.id)
+        mine = owned.ownership.owner == self.board.heartbeats.owner
+        if owned.ownership.ended or not mine:
+            if runner:
+                del self.runners[owned.id]
+                await runner.stop()
+        elif runner:
+            runner.recorder.version = owned.version
+        elif owned.id not in self.starting:
+            self.starting.add(owned.id)
+            await curio.spawn(self._start, owned, daemon=True)
+
+    async def _start(self, owned: OwnedSubmission) -> None:
+        try:
+            while not await self._try_start(owned.id):
+                await curio.sleep(START_PAUSE.total_seconds())
+        finally:
+            self.starting.discard(owned.id)
+
+    async def _try_start(self, submission_id: str) -> bool:
+        """Start a submission unless it was lost meanwhile."""
+        if not self._is_mine(submission_id):
+            return True
+        try:
+            submission = await self._read_submission(submission_id)
+            page = await read_all(self.store, results_range(submission_id))
+        except ShedError as failure:
+            log.write(
+                'cannot start yet',
+                submission=submission_id,
+                detail=failure.detail,
+            )
+            return False
+        listed = join_results(page.rows, more=False).results
+        if self._is_mine(submission_id):
+            await self._run(submission, list(listed), page.now)
+        return True
+
+    async def _run(
+        self,
+        submission: Submission,
+        listed: list[ItemResult],
+        store_now: timedelta,
+    ) -> None:
+        owned = self.board.submissions[submission.id]
+        committer = Committer(self.store, self.clock)
+        recorder = Recorder(committer, submission, owned.version, listed)
+        route = self.directory.configuration.find_route(
+            submission.host,
+            submission.path,
+        )
+        age = store_now - owned.ownership.accepted
+        longest = route.max_age if route else STATUS_SPAN
+        runner = SubmissionRunner(
+            self.parts,
+            submission,
+            recorder,
+            self.clock.elapsed() - age + longest,
+        )
+        self.runners[submission.id] = runner
+        await runner.start()
+
+    def _is_mine(self, submission_id: str) -> bool:
+        owned = self.board.submissions.get(submission_id)
+        if owned is None or owned.ownership.ended:
+            return False
+        return owned.ownership.owner == self.board.heartbeats.owner
+
+    async def _keep(self, submission: Submission) -> OwnedSubmission | None:
+        """Write a new submission; None if it was there before."""
+        heartbeats = self.board.heartbeats
+        takes = heartbeats.holds_lease() and not heartbeats.own.draining
+        pieces = write_specification(submission)
+        ownership = Ownership(
+            heartbeats.owner if takes else '',
+            len(submission.items),
+            len(pieces),
+            accepted=heartbeats.store_now(),
+        )
+        writes = (write_ownership(submission.id, ownership), *pieces)
+        guards = tuple(Guard(write.key, ABSENT) for write in writes)
+        committer = Committer(self.store, self.clock)
+        try:
+            version = await committer.commit(
+                Transaction(writes, guards),
+                ACCEPT_PATIENCE,
+            )
+        except ConflictError as conflict:
+            if conflict.find(submission_key(submission.id)) is None:
+                raise ShedError(
+                    Code.STORE_CONFLICT,
+                    verdict=Verdict.MAY_HAVE_RUN,
+                ) from conflict
+            return None
+        return OwnedSubmission(submission.id, ownership, version)
+
+    async def _find(self, submission_id: str) -> OwnedSubmission:
+        """Return a submission's ownership, from the store if need be."""
+        known = self.board.submissions.get(submission_id)
+        if known:
+            return known
+        key = submission_key(submission_id)
+        page = await self.store.read(
+            RowRange(key.table, key.part, key.key, f'{key.key}\0'),
+        )
+        for row in page.rows:
+            await self.board.follower.on_change(row)
+        known = self.board.submissions.get(submission_id)
+        if known is None:
+            raise ShedError(Code.UNKNOWN_STEP, submission_id)
+        return known
+
+    async def _read_submission(self, submission_id: str) -> Submission:
+        wanted = specification_range(submission_id)
+        page = await read_all(self.store, wanted)
+        return join_specification(page.rows)
+
+    async def _read_once(
+        self,
+        submission_id: str,
+        after: int,
+        end: timedelta,
+    ) -> tuple[ItemResult, ...]:
+        """Return results that are listed now, cut to the size of a page."""
+        runner = self.runners.get(submission_id)
+        if runner:
+            left = end - self.clock.elapsed()
+            await runner.recorder.wait(after, max(timedelta(), left))
+            found = tuple(runner.recorder.listed[after:])
+            if found:
+                return cut_page(found)
+        page = await self.store.read(results_range(submission_id, after))
+        stored = join_results(page.rows, more=page.more)
+        return cut_page(stored.results)
+
+    async def _write_end(
+        self,
+        owned: OwnedSubmission,
+        ended: Ownership,
+        stop_at: timedelta,
+    ) -> OwnedSubmission:
+        transaction = Transaction(
+            (write_ownership(owned.id, ended),),
+            (Guard(submission_key(owned.id), owned.version),),
+        )
+        committer = Committer(self.store, self.clock)
+        left = stop_at - self.clock.elapsed()
+        try:
+            version = await committer.commit(transaction, left)
+        except ConflictError as conflict:
+            for row in conflict.rows:
+                await self.board.follower.on_change(row)
+            return self.board.submissions[owned.id]
+        changed = OwnedSubmission(owned.id, ended, version)
+        await self.board.note(changed)
+        log.write('submission ended', submission=owned.id)
+        return changed
+
+
+def cut_page(found: tuple[ItemResult, ...]) -> tuple[ItemResult, ...]:
+    """Return the first results that fit into one answer, at least one."""
+    size = 0
+    for count, outcome in enumerate(found):
+        size += len(outcome.text)
+        if count and size > PAGE_BYTES:
+            return found[:count]
+    return found
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/directories.py
@@ -0,0 +1,166 @@
+"""Follows what operators, trainers and targets write in the store."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Protocol
+
+from attrs import define, field, frozen
+from sequoia_policy.clocks import Clock
+from sequoia_policy.fleets import Fleet, Registration
+from sequoia_policy.routing import Configuration
+from sequoia_wire.logs import Log
+
+from sequoia_rollouts.followers import TableFollower
+from sequoia_rollouts.stores import Row, Store
+
+LAPSE_GRACE = timedelta(milliseconds=2200)
+TROUBLE_SPAN = timedelta(seconds=3)  # after which removals are believed
+
+log = Log('directory')
+
+
+@frozen
+class NamedVersion:
+    """The newest version of a model that a trainer named."""
+
+    model: str
+    version: int
+
+
+class DirectoryReader(Protocol):
+    """Decodes the rows of operators, trainers and targets.
+
+    Attributes:
+        operator_table: Table of configurations and named versions.
+        targets_table: Table of registrations.
+    """
+
+    operator_table: str
+    targets_table: str
+
+    def read_operator_row(
+        self,
+        row: Row,
+    ) -> Configuration | NamedVersion | None:
+        """Decode a row of the operator table; None if it cannot be used."""
+
+    def read_registration(self, row: Row) -> Registration | None:
+        """Decode a registration; None if it cannot be used."""
+
+
+@define
+class Directory:
+    """The configuration in force, the targets and the named versions.
+
+    Attributes:
+        versions: Newest version that was named, by model.
+        observers: Called after each change.
+    """
+
+    store: Store
+    clock: Clock
+    reader: DirectoryReader
+    fleet: Fleet = field(factory=Fleet)
+    configuration: Configuration = field(factory=Configuration)
+    versions: dict[str, int] = field(factory=dict)
+    observers: list[Callable[[], None]] = field(factory=list)
+    operators: TableFollower = field(init=False)
+    targets: TableFollower = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the followers of both tables."""
+        self.operators = TableFollower(
+            self.store,
+            self.clock,
+            self.reader.operator_table,
+            self._take_operator_rows,
+            self._take_operator_row,
+        )
+        self.targets = TableFollower(
+            self.store,
+            self.clock,
+            self.reader.targets_table,
+            self._take_targets,
+            self._take_target,
+        )
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a configuration and the targets were read."""
+        if self.targets.version is None and not self.fleet.targets:
+            return False
+        return self.configuration.version > 0
+
+    def config_age(self) -> timedelta | None:
+        """Return the time since the configuration was last confirmed."""
+        if self.operators.in_touch is None:
+            return None
+        return self.clock.elapsed() - self.operators.in_touch
+
+    async def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            await self._take_operator_row(row)
+
+    async def _take_operator_row(self, row: Row) -> None:
+        if row.body is None:
+            return
+        content = self.reader.read_operator_row(row)
+        if isinstance(content, Configuration):
+            self._take_configuration(content)
+        elif isinstance(content, NamedVersion):
+            self._take_version(content)
+        self._notify()
+
+    def _take_configuration(self, content: Configuration) -> None:
+        if content.version <= self.configuration.version:
+            return
+        self.configuration = content
+        log.write(
+            'configuration in force',
+            version=content.version,
+            routes=len(content.routes),
+        )
+
+    def _take_version(self, named: NamedVersion) -> None:
+        known = self.versions.get(named.model, 0)
+        if named.version <= known:
+            return
+        self.versions[named.model] = named.version
+        log.write('version named', model=named.model, version=named.version)
+
+    async def _take_targets(self, rows: tuple[Row, ...]) -> None:
+        read = [self.reader.read_registration(row) for row in rows if row.body]
+        present = [one for one in read if one is not None]
+        now = self.clock.elapsed()
+        self.fleet.replace_all(present, now, self._find_grace())
+        log.write('targets listed', count=len(present))
+        self._notify()
+
+    async def _take_target(self, row: Row) -> None:
+        now = self.clock.elapsed()
+        registration = self.reader.read_registration(row) if row.body else None
+        if registration is None:
+            self.fleet.remove(row.key.key, now, self._find_grace())
+            log.write('target gone', target=row.key.key)
+        else:
+            self.fleet.register(registration)
+            log.write(
+                'target registered',
+                target=registration.name,
+                leaving=registration.leaving,
+            )
+        self._notify()
+
+    def _find_grace(self) -> timedelta:
+        """Return how long a target whose registration went may still live.
+
+        While the store is in trouble registrations lapse of targets that
+        live; they register again soon after it is back.
+        """
+        if self.targets.had_trouble(TROUBLE_SPAN):
+            return LAPSE_GRACE
+        return timedelta()
+
+    def _notify(self) -> None:
+        for observer in self.observers:
+            observer()
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/followers.py
@@ -0,0 +1,110 @@
+"""Follows a table of the store: a listing, then changes."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import curio
+from attrs import define, field
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import ShedError
+from sequoia_wire.logs import Log
+
+from sequoia_rollouts.stores import (
+    HistoryLostError,
+    Row,
+    RowPage,
+    RowRange,
+    Store,
+    read_all,
+)
+
+FOLLOW_PATIENCE = timedelta(seconds=1)
+RETRY_PAUSE = timedelta(milliseconds=100)
+
+log = Log('feed')
+
+
+@define
+class TableFollower:
+    """Keeps one host's view of a table up to date.
+
+    Attributes:
+        table: Table to follow.
+        parts: Parts that a listing reads.
+        on_listing: Takes all rows, also after history was lost.
+        on_change: Takes one changed or removed row.
+        version: Version up to which changes were taken; None before the
+            first listing.
+        in_touch: When the store last answered.
+        troubled: When the store last failed to answer.
+    """
+
+    store: Store
+    clock: Clock
+    table: str
+    on_listing: Callable[[tuple[Row, ...]], Awaitable[None]]
+    on_change: Callable[[Row], Awaitable[None]]
+    parts: tuple[str, ...] = ('',)
+    version: int | None = None
+    in_touch: timedelta | None = None
+    troubled: timedelta | None = None
+    listed: curio.Event = field(factory=curio.Event)
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except HistoryLostError:
+                log.write('history lost', table=self.table)
+                self.version = None
+            except ShedError as failure:
+                self._note_trouble(failure)
+                await curio.sleep(RETRY_PAUSE.total_seconds())
+
+    async def step(self) -> None:
+        """Take a listing, or the next changes.
+
+        Raises:
+            HistoryLostError: If a listing is needed.
+            ShedError: If the store does not answer.
+        """
+        if self.version is None:
+            await self._list()
+        else:
+            await self._follow(self.version)
+        if self._is_cut_off():
+            log.write('store is back', table=self.table)
+        self.in_touch = self.clock.elapsed()
+
+    def had_trouble(self, span: timedelta) -> bool:
+        """Tell whether the store failed within the last ``span``."""
+        if self.troubled is None:
+            return False
+        return self.clock.elapsed() - self.troubled < span
+
+    async def _list(self) -> None:
+        pages = [await self._read_part(part) for part in self.parts]
+        rows = [row for page in pages for row in page.rows]
+        await self.on_listing(tuple(rows))
+        self.version = min(page.version for page in pages)
+        await self.listed.set()
+
+    async def _read_part(self, part: str) -> RowPage:
+        return await read_all(self.store, RowRange(self.table, part))
+
+    async def _follow(self, after: int) -> None:
+        changes = await self.store.follow(self.table, after, FOLLOW_PATIENCE)
+        for row in changes.rows:
+            await self.on_change(row)
+        self.version = max(after, changes.version)
+
+    def _is_cut_off(self) -> bool:
+        if self.troubled is None or self.in_touch is None:
+            return False
+        return self.troubled > self.in_touch
+
+    def _note_trouble(self, failure: ShedError) -> None:
+        if not self._is_cut_off():
+            log.write('store is away', table=self.table, detail=failure.detail)
+        self.troubled = self.clock.elapsed()
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/generations.py
@@ -0,0 +1,195 @@
+"""Runs one item at an engine, going on where an earlier run stopped."""
+
+from datetime import timedelta
+
+from attrs import define, field
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.fleets import FleetTarget
+from sequoia_policy.submissions import Item, Submission
+from sequoia_policy.verdicts import Verdict
+from sequoia_wire.clients import Call, Patience
+from sequoia_wire.messages import AnswerHead, RequestHead, encode_headers
+
+from sequoia_rollouts.dialects import CallLabels
+from sequoia_rollouts.events import EventReader, StreamEvent
+from sequoia_rollouts.senders import CONNECT_PATIENCE, Outgoing, Sender
+
+GAP_PATIENCE = timedelta(seconds=3)  # longest silence of an engine
+OK = 200
+FAILED = 500
+IMPOSSIBLE = 422
+
+
+class RunFailedError(Exception):
+    """The engine ran the item and answered with a failure."""
+
+
+class ImpossibleItemError(Exception):
+    """The item can never be done."""
+
+
+@define
+class Generation:
+    """The text of an item as far as it was generated.
+
+    Attributes:
+        last_number: Id of the last whole event.
+        version: Version that made the last event; None before the first.
+        versions: All versions that made an event.
+        done: Whether the stream ended whole.
+    """
+
+    item: Item
+    texts: list[str] = field(factory=list)
+    last_number: str = ''
+    version: int | None = None
+    versions: set[int] = field(factory=set)
+    done: bool = False
+
+    def accept(self, event: StreamEvent) -> None:
+        """Take the next event."""
+        self.texts.append(event.text)
+        self.last_number = event.number
+        if self.version is not None:
+            self.versions.add(self.version)
+
+    def restart(self) -> None:
+        """Forget all that was generated."""
+        self.texts.clear()
+        self.last_number = ''
+        self.version = None
+        self.versions.clear()
+        self.done = False
+
+    def render(self) -> str:
+        """Return the whole text."""
+        return '\n'.join(self.texts)
+
+
+@define
+class Generator:
+    """Runs generations of one submission at engines."""
+
+    clock: Clock
+    sender: Sender
+    submission: Submission
+    single_version: bool
+
+    async def run(self, generation: Generation, target: FleetTarget) -> None:
+        """Generate at one engine until the stream ends.
+
+        Raises:
+            RunFailedError: If the engine answered with a failure.
+            ImpossibleItemError: If the item can never be done.
+            ShedError: If the run broke off; what was received is kept.
+        """
+        started = self.clock.elapsed()
+        before = len(generation.texts)
+        call = self.sender.open(target)
+        call.patience = Patience(CONNECT_PATIENCE, GAP_PATIENCE)
+        async with call:
+            await self._start(call, generation, target)
+            await self._read_stream(call, generation, target)
+        now = self.clock.elapsed()
+        made = max(1, len(generation.texts) - before)
+        target.record_duration((now - started).total_seconds() / made, now)
+
+    async def _start(
+        self,
+        call: Call,
+        generation: Generation,
+        target: FleetTarget,
+    ) -> None:
+        labels = CallLabels(
+            generation.item.id,
+            target.name,
+            resume_after=generation.last_number,
+        )
+        outgoing = self._make_request(generation.item)
+        head = await self.sender.start(call, outgoing, labels)
+        if head.status != OK:
+            await self._refuse(call, head)
+        version = self.sender.dialect.read_labels(head).version
+        if version is not None:
+            self._take_version(generation, target, version)
+
+    async def _refuse(self, call: Call, head: AnswerHead) -> None:
+        """Raise what an answer without a stream means."""
+        await call.read_body()
+        if head.status == IMPOSSIBLE:
+            raise ImpossibleItemError(f'status {head.status}')
+        if head.status == FAILED:
+            raise RunFailedError(f'status {head.status}')
+        raise ShedError(
+            Code.TARGET_BROKE,
+            f'status {head.status}',
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+
+    def _make_request(self, item: Item) -> Outgoing:
+        headers = {header.name: header.text for header in item.headers}
+        head = RequestHead(
+            'POST',
+            item.path,
+            (
+                *encode_headers({'host': self.submission.host}),
+                *encode_headers(headers),
+            ),
+        )
+        return Outgoing(item.id, head, item.body)
+
+    async def _read_stream(
+        self,
+        call: Call,
+        generation: Generation,
+        target: FleetTarget,
+    ) -> None:
+        reader = EventReader(self.sender.dialect.version_field)
+        chunk = await call.read_chunk()
+        while chunk:
+            self._take_chunk(reader, chunk, generation, target)
+            chunk = await call.read_chunk()
+        if not reader.is_clean or not generation.texts:
+            raise ShedError(Code.TARGET_BROKE, 'the stream is not whole')
+        generation.done = True
+
+    def _take_chunk(
+        self,
+        reader: EventReader,
+        chunk: bytes,
+        generation: Generation,
+        target: FleetTarget,
+    ) -> None:
+        try:
+            events = reader.feed(chunk)
+        except ValueError as bad:
+            raise ShedError(Code.WRONG_ANSWER, 'not an event') from bad
+        for event in events:
+            if event.version is not None:
+                self._take_version(generation, target, event.version)
+            generation.accept(event)
+
+    def _take_version(
+        self,
+        generation: Generation,
+        target: FleetTarget,
+        version: int,
+    ) -> None:
+        """Note the version that generates from here on.
+
+        Raises:
+            ShedError: If it may not generate this item.
+        """
+        model = self.submission.model
+        if model:
+            target.note_version(model, version)
+        if version < self.submission.min_version:
+            raise ShedError(
+                Code.TARGET_REFUSED,
+                f'version {version} is too old',
+            )
+        if self.single_version and generation.versions - {version}:
+            generation.restart()
+            raise ShedError(Code.TARGET_REFUSED, 'the version has changed')
+        generation.version = version
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/owners.py
@@ -0,0 +1,217 @@
+"""Who owns which submission and duty, and taking up what nobody owns."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import curio
+from attrs import define, evolve, field, frozen
+from sequoia_policy.choices import rank_names
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import ShedError
+from sequoia_policy.presences import ADOPTION_STEP
+from sequoia_policy.submissions import Ownership
+from sequoia_wire.logs import Log
+
+from sequoia_rollouts.followers import TableFollower
+from sequoia_rollouts.heartbeats import HeartbeatKeeper
+from sequoia_rollouts.stores import (
+    Committer,
+    ConflictError,
+    Guard,
+    Row,
+    Store,
+    Transaction,
+)
+from sequoia_rollouts.tables import (
+    DUTY_PREFIX,
+    OWNERSHIP,
+    SHARDS,
+    SUBMISSION_PREFIX,
+    Duty,
+    read_duty,
+    read_ownership,
+    submission_key,
+    write_ownership,
+)
+
+SWEEP_PERIOD = timedelta(milliseconds=50)
+COMMIT_PATIENCE = timedelta(milliseconds=1500)
+
+log = Log('owner')
+
+
+@frozen
+class OwnedSubmission:
+    """A submission's ownership as this host last saw it."""
+
+    id: str
+    ownership: Ownership
+    version: int
+
+
+@frozen
+class OwnedDuty:
+    """A duty's ownership as this host last saw it."""
+
+    name: str
+    owner: str
+    version: int
+
+
+@define
+class OwnershipBoard:
+    """This host's view of all ownership, and what it does about it.
+
+    Attributes:
+        on_change: Called with a submission that changed.
+        free_since: When a submission was first seen without a live owner.
+    """
+
+    store: Store
+    clock: Clock
+    heartbeats: HeartbeatKeeper
+    on_change: Callable[[OwnedSubmission], Awaitable[None]]
+    submissions: dict[str, OwnedSubmission] = field(factory=dict)
+    duties: dict[str, OwnedDuty] = field(factory=dict)
+    free_since: dict[str, timedelta] = field(factory=dict)
+    follower: TableFollower = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the follower of the ownership table."""
+        self.follower = TableFollower(
+            self.store,
+            self.clock,
+            OWNERSHIP,
+            self._take_rows,
+            self._take_row,
+            SHARDS,
+        )
+
+    async def run_adoption(self) -> None:
+        """Take up submissions without a live owner until cancelled."""
+        while True:
+            await curio.sleep(SWEEP_PERIOD.total_seconds())
+            for name in self._find_free():
+                await self._adopt(name)
+
+    async def note(self, owned: OwnedSubmission) -> None:
+        """Take a state that this host itself has read or written."""
+        known = self.submissions.get(owned.id)
+        if known and known.version >= owned.version:
+            return
+        self.submissions[owned.id] = owned
+        await self.on_change(owned)
+
+    async def release(self, submission_id: str) -> None:
+        """Let others take up a submission of this host.
+
+        Raises:
+            ShedError: If the store does not answer.
+        """
+        known = self.submissions[submission_id]
+        if known.ownership.owner == self.heartbeats.owner:
+            await self._change_owner(known, '')
+
+    def count_owners(self) -> int:
+        """Return how many hosts own a submission that is not ended."""
+        owners = {
+            owned.ownership.owner
+            for owned in self.submissions.values()
+            if not owned.ownership.ended
+        }
+        return len(owners - {''})
+
+    async def _take_rows(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            await self._take_row(row)
+
+    async def _take_row(self, row: Row) -> None:
+        try:
+            await self._decode_row(row)
+        except ShedError as bad:
+            log.write('row cannot be read', key=row.key.key, detail=bad.detail)
+
+    async def _decode_row(self, row: Row) -> None:
+        name = row.key.key
+        if name.startswith(DUTY_PREFIX) and row.body:
+            self.note_duty(
+                OwnedDuty(
+                    name.removeprefix(DUTY_PREFIX),
+                    read_duty(row.body).owner,
+                    row.version,
+                ),
+            )
+        elif name.startswith(SUBMISSION_PREFIX):
+            submission_id = name.removeprefix(SUBMISSION_PREFIX)
+            if row.body is None:
+                self.submissions.pop(submission_id, None)
+                return
+            ownership = read_ownership(row.body)
+            await self.note(
+                OwnedSubmission(submission_id, ownership, row.version),
+            )
+
+    def note_duty(self, duty: OwnedDuty) -> None:
+        """Take a newer state of a duty."""
+        known = self.duties.get(duty.name)
+        if known is None or known.version < duty.version:
+            self.duties[duty.name] = duty
+
+    def is_free(self, owner: str) -> bool:
+        """Tell whether what ``owner`` owned may be taken up."""
+        return not owner or self.heartbeats.is_dead(owner)
+
+    def is_my_turn(self, name: str) -> bool:
+        """Tell whether this host should take up something free now.
+
+        Hosts take turns in the rendezvous order of the name, so that one of
+        them does it at once and the others only if that one does not.
+        """
+        if not self.heartbeats.holds_lease() or self.heartbeats.own.draining:
+            return False
+        now = self.clock.elapsed()
+        since = self.free_since.setdefault(name, now)
+        order = rank_names(name, self.heartbeats.live_owners())
+        turn = order.index(self.heartbeats.owner)
+        return now - since >= ADOPTION_STEP * turn
+
+    def _find_free(self) -> list[str]:
+        found = []
+        for name, owned in self.submissions.items():
+            free = self.is_free(owned.ownership.owner)
+            if owned.ownership.ended or not free:
+                self.free_since.pop(name, None)
+            elif self.is_my_turn(name):
+                found.append(name)
+        return found
+
+    async def _adopt(self, name: str) -> None:
+        owned = self.submissions[name]
+        try:
+            await self._change_owner(owned, self.heartbeats.owner)
+        except ShedError as failure:
+            log.write('not adopted', submission=name, detail=failure.detail)
+        else:
+            log.write(
+                'submission adopted',
+                submission=name,
+                before=owned.ownership.owner,
+            )
+
+    async def _change_owner(self, owned: OwnedSubmission, owner: str) -> None:
+        ownership = evolve(owned.ownership, owner=owner)
+        transaction = Transaction(
+            (write_ownership(owned.id, ownership),),
+            (Guard(submission_key(owned.id), owned.version),),
+        )
+        committer = Committer(self.store, self.clock)
+        try:
+            version = await committer.commit(transaction, COMMIT_PATIENCE)
+        except ConflictError as conflict:
+            await self._take_conflict(conflict)
+            return
+        await self.note(OwnedSubmission(owned.id, ownership, version))
+
+    async def _take_conflict(self, conflict: ConflictError) -> None:
+        for row in conflict.rows:
+            await self._take_row(row)
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/placers.py
@@ -0,0 +1,107 @@
+"""Hands out places at targets to items and reward calls."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import curio
+from attrs import define, frozen
+from sequoia_policy.clocks import Clock
+from sequoia_policy.fleets import FleetTarget, find_usual
+
+from sequoia_rollouts.directories import Directory
+
+LOOK_PERIOD = timedelta(milliseconds=10)
+LIVE_RESERVE = 2  # slots of a plain target that reward calls leave free
+
+
+@frozen
+class EngineNeed:
+    """What an item needs of an engine.
+
+    Attributes:
+        min_version: Oldest version of ``model`` that may generate.
+    """
+
+    service: str
+    model: str = ''
+    min_version: int = 0
+
+    def fits(self, target: FleetTarget) -> bool:
+        """Tell whether an engine holds a version that is new enough."""
+        if not self.model:
+            return True
+        return target.version_of(self.model) >= self.min_version
+
+
+@define
+class Placer:
+    """Gives each item the engine that should finish it first.
+
+    Attributes:
+        sharers: Returns the number of hosts that run submissions, with this
+            one; they share the targets.
+    """
+
+    clock: Clock
+    directory: Directory
+    sharers: Callable[[], int]
+
+    def choose_engine(self, need: EngineNeed) -> FleetTarget | None:
+        """Return an engine with a free slot, or None."""
+        now = self.clock.elapsed()
+        usable = self.directory.fleet.usable(need.service, now)
+        free = [
+            target
+            for target in usable
+            if target.running < target.slots and need.fits(target)
+        ]
+        return self._choose(free, now)
+
+    def choose_scorer(self, service: str) -> FleetTarget | None:
+        """Return a plain target that takes one more reward call, or None."""
+        now = self.clock.elapsed()
+        usable = self.directory.fleet.usable(service, now)
+        sharers = max(1, self.sharers())
+        free = [
+            target
+            for target in usable
+            if target.running < bound_rewards(target.slots, sharers)
+        ]
+        return self._choose(free, now)
+
+    async def acquire_engine(self, need: EngineNeed) -> FleetTarget:
+        """Wait for an engine and take one of its slots."""
+        target = self.choose_engine(need)
+        while target is None:
+            await curio.sleep(LOOK_PERIOD.total_seconds())
+            target = self.choose_engine(need)
+        target.running += 1
+        return target
+
+    async def acquire_scorer(self, service: str) -> FleetTarget:
+        """Wait for a plain target and take one of its slots."""
+        target = self.choose_scorer(service)
+        while target is None:
+            await curio.sleep(LOOK_PERIOD.total_seconds())
+            target = self.choose_scorer(service)
+        target.running += 1
+        return target
+
+    def release(self, target: FleetTarget) -> None:
+        """Give a slot back."""
+        target.running -= 1
+
+    def _choose(
+        self,
+        free: list[FleetTarget],
+        now: timedelta,
+    ) -> FleetTarget | None:
+        if not free:
+            return None
+        usual = find_usual(free, now)
+        return min(free, key=lambda target: target.estimate(now, usual))
+
+
+def bound_rewards(slots: int, sharers: int) -> int:
+    """Return the reward calls that one host may run at a plain target."""
+    return max(1, (slots - LIVE_RESERVE) // sharers)
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/rewards.py
@@ -0,0 +1,139 @@
+"""Scores a finished text by a call to a plain service."""
+
+import random
+from datetime import timedelta
+
+import curio
+from attrs import define
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.fleets import FleetTarget
+from sequoia_policy.routing import Route
+from sequoia_policy.submissions import RewardCall, WorkQueue
+from sequoia_policy.verdicts import Verdict
+from sequoia_wire.logs import Log
+from sequoia_wire.messages import RequestHead, encode_headers
+
+from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.placers import Placer
+from sequoia_rollouts.senders import LabelledAnswer, Outgoing, Sender
+
+FIRST_ERROR = 300
+FAILED = 500
+RETRY_PAUSE = timedelta(milliseconds=40)
+OBJECTIVES_PER_ATTEMPT = 2.5
+SHORTEST_ATTEMPT = timedelta(milliseconds=500)
+
+log = Log('reward')
+
+
+class NoRewardError(Exception):
+    """The reward call failed as often as its route allows."""
+
+
+@define
+class RewardCaller:
+    """Makes reward calls, a bounded number at each target."""
+
+    clock: Clock
+    directory: Directory
+    sender: Sender
+    placer: Placer
+    chance: random.Random
+
+    async def score(self, call: RewardCall, queue: WorkQueue) -> str:
+        """Return the receipt of a successful reward call.
+
+        Args:
+            call: The call, which may be repeated.
+            queue: Counts its failures.
+
+        Raises:
+            NoRewardError: If it never succeeds.
+        """
+        while True:
+            route = self._find_route(call)
+            service = route.choose_service(self.chance)
+            target = await self.placer.acquire_scorer(service)
+            try:
+                labelled = await self._send(call, route, target)
+            except ShedError as failure:
+                self._learn(target, call, failure)
+                await curio.sleep(RETRY_PAUSE.total_seconds())
+                continue
+            finally:
+                self.placer.release(target)
+            if self._is_success(labelled):
+                return labelled.labels.receipt
+            self._count(call, route, queue, labelled.answer.status)
+
+    def _find_route(self, call: RewardCall) -> Route:
+        path = call.path.partition('?')[0]
+        route = self.directory.configuration.find_route(call.host, path)
+        if route is None:
+            raise NoRewardError('its route is gone')
+        return route
+
+    async def _send(
+        self,
+        call: RewardCall,
+        route: Route,
+        target: FleetTarget,
+    ) -> LabelledAnswer:
+        head = RequestHead(
+            'POST',
+            call.path,
+            encode_headers({'host': call.host}),
+        )
+        patience = min(
+            route.timeout,
+            max(SHORTEST_ATTEMPT, route.objective * OBJECTIVES_PER_ATTEMPT),
+        )
+        started = self.clock.elapsed()
+        labelled = await self.sender.fetch(
+            target,
+            Outgoing(call.id, head, call.body),
+            patience,
+            patience,
+        )
+        now = self.clock.elapsed()
+        target.record_duration((now - started).total_seconds(), now)
+        return labelled
+
+    def _is_success(self, labelled: LabelledAnswer) -> bool:
+        if labelled.answer.status >= FIRST_ERROR:
+            return False
+        return bool(labelled.labels.receipt and labelled.labels.request_id)
+
+    def _count(
+        self,
+        call: RewardCall,
+        route: Route,
+        queue: WorkQueue,
+        status: int,
+    ) -> None:
+        log.write('reward refused', request_id=call.id, status=status)
+        if status != FAILED:
+            return
+        if queue.count_failure(call.id) >= route.max_attempts:
+            raise NoRewardError(f'{route.max_attempts} failures')
+
+    def _learn(
+        self,
+        target: FleetTarget,
+        call: RewardCall,
+        failure: ShedError,
+    ) -> None:
+        now = self.clock.elapsed()
+        if failure.code is Code.MISPLACED:
+            self.directory.fleet.remove(target.name, now, timedelta())
+        elif failure.verdict is not Verdict.NOT_RUN:
+            target.record_failure(now)
+        else:
+            target.pause(now, RETRY_PAUSE)
+        log.write(
+            'reward attempt failed',
+            request_id=call.id,
+            target=target.name,
+            code=failure.code.value.label,
+        )
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/runners.py
@@ -0,0 +1,228 @@
+"""Runs the items of one submission that this host owns."""
+
+from datetime import timedelta
+
+import curio
+from attrs import define, field, frozen
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.fleets import FleetTarget
+from sequoia_policy.routing import Route
+from sequoia_policy.submissions import (
+    Item,
+    ItemResult,
+    ItemState,
+    Submission,
+    WorkQueue,
+)
+from sequoia_policy.verdicts import Verdict
+from sequoia_wire.logs import Log
+
+from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.generations import (
+    Generation,
+    Generator,
+    ImpossibleItemError,
+    RunFailedError,
+)
+from sequoia_rollouts.placers import EngineNeed, Placer
+from sequoia_rollouts.recorders import Recorder
+from sequoia_rollouts.rewards import NoRewardError, RewardCaller
+from sequoia_rollouts.senders import Sender
+
+IDLE_LOOK = timedelta(milliseconds=20)
+REFUSAL_PAUSE = timedelta(milliseconds=100)
+AGE_MARGIN = timedelta(seconds=1)
+
+log = Log('runner')
+
+
+@frozen
+class RunnerParts:
+    """What all runners of a host share."""
+
+    clock: Clock
+    directory: Directory
+    sender: Sender
+    placer: Placer
+    rewards: RewardCaller
+
+
+@define(eq=False)
+class SubmissionRunner:
+    """Runs items until each has a result, or the submission is lost.
+
+    Attributes:
+        expires: When unfinished items are given up.
+        draining: Whether no further item starts.
+    """
+
+    parts: RunnerParts
+    submission: Submission
+    recorder: Recorder
+    expires: timedelta
+    draining: bool = False
+    queue: WorkQueue = field(init=False)
+    generations: dict[str, Generation] = field(factory=dict)
+    active: int = 0
+    task: curio.Task | None = None
+
+    def __attrs_post_init__(self) -> None:
+        """Queue the items that have no result yet."""
+        self.queue = WorkQueue(self.submission)
+        self.queue.drop({known.id for known in self.recorder.listed})
+
+    async def start(self) -> None:
+        """Run in the background."""
+        self.task = await curio.spawn(self.run, daemon=True)
+
+    async def stop(self) -> None:
+        """End all work at once."""
+        if self.task:
+            await self.task.cancel(blocking=False)
+
+    async def run(self) -> None:
+        """Run items until all have a result, or cancelled."""
+        async with curio.TaskGroup(wait=all) as group:
+            try:
+                await self._run_items(group)
+            finally:
+                await group.cancel_remaining()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is under way."""
+        return not self.active and not self.recorder.pending
+
+    async def _run_items(self, group: curio.TaskGroup) -> None:
+        await group.spawn(self.recorder.run)
+        while not self.recorder.is_whole:
+            item = None if self.draining else self.queue.take()
+            if item is None:
+                await curio.sleep(IDLE_LOOK.total_seconds())
+            else:
+                await self._dispatch(group, item)
+        log.write('submission whole', submission=self.submission.id)
+
+    async def _dispatch(self, group: curio.TaskGroup, item: Item) -> None:
+        route = self._find_route()
+        if route is None or self.parts.clock.elapsed() > self.expires:
+            self._bury(item, 'given up')
+            return
+        need = EngineNeed(
+            route.choose_service(self.parts.rewards.chance),
+            self.submission.model,
+            self.submission.min_version,
+        )
+        target = await self._place(need)
+        if target is None:
+            self.queue.put_back(item)
+            await curio.sleep(IDLE_LOOK.total_seconds())
+            return
+        target.running += 1
+        self.active += 1
+        await group.spawn(self._run_item, item, route, target)
+
+    async def _place(self, need: EngineNeed) -> FleetTarget | None:
+        return self.parts.placer.choose_engine(need)
+
+    def _find_route(self) -> Route | None:
+        configuration = self.parts.directory.configuration
+        submission = self.submission
+        return configuration.find_route(submission.host, submission.path)
+
+    async def _run_item(
+        self,
+        item: Item,
+        route: Route,
+        target: FleetTarget,
+    ) -> None:
+        try:
+            generation = await self._generate(item, route, target)
+            if generation is not None:
+                await self._finish(item, generation)
+        finally:
+            self.active -= 1
+
+    async def _generate(
+        self,
+        item: Item,
+        route: Route,
+        target: FleetTarget,
+    ) -> Generation | None:
+        """Return the whole generation, or None if there is none yet."""
+        generation = self.generations.setdefault(item.id, Generation(item))
+        generator = Generator(
+            self.parts.clock,
+            self.parts.sender,
+            self.submission,
+            route.single_version,
+        )
+        try:
+            await generator.run(generation, target)
+        except ShedError as failure:
+            await self._retry(item, target, failure)
+            return None
+        except RunFailedError:
+            self._count_failure(item, route)
+            return None
+        except ImpossibleItemError:
+            self._bury(item, 'impossible')
+            return None
+        finally:
+            self.parts.placer.release(target)
+        return generation
+
+    async def _finish(self, item: Item, generation: Generation) -> None:
+        score = ''
+        if item.reward:
+            try:
+                score = await self.parts.rewards.score(item.reward, self.queue)
+            except NoRewardError as failure:
+                self._bury(item, str(failure))
+                return
+        self.generations.pop(item.id, None)
+        self.recorder.add(
+            ItemResult(
+                item.id,
+                ItemState.COMPLETED,
+                generation.render(),
+                tuple(sorted(generation.versions)),
+                score,
+            ),
+        )
+
+    async def _retry(
+        self,
+        item: Item,
+        target: FleetTarget,
+        failure: ShedError,
+    ) -> None:
+        now = self.parts.clock.elapsed()
+        log.write(
+            'run broke off',
+            request_id=item.id,
+            target=target.name,
+            code=failure.code.value.label,
+            detail=failure.detail,
+        )
+        if failure.code is Code.MISPLACED:
+            self.parts.directory.fleet.remove(target.name, now, timedelta())
+        elif failure.code is Code.TARGET_REFUSED:
+            target.pause(now, REFUSAL_PAUSE)
+        else:
+            target.record_failure(now)
+        if failure.verdict is Verdict.NOT_RUN:
+            await curio.sleep(IDLE_LOOK.total_seconds())
+        self.queue.put_back(item)
+
+    def _count_failure(self, item: Item, route: Route) -> None:
+        if self.queue.count_failure(item.id) >= route.max_attempts:
+            self._bury(item, f'{route.max_attempts} failures')
+        else:
+            self.queue.put_back(item)
+
+    def _bury(self, item: Item, reason: str) -> None:
+        log.write('item dead', request_id=item.id, reason=reason)
+        self.generations.pop(item.id, None)
+        self.recorder.add(ItemResult(item.id, ItemState.DEAD))
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -0,0 +1,164 @@
+"""Sends one request to one target and reads its answer."""
+
+from datetime import timedelta
+
+import curio
+from attrs import define, field, frozen
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.fleets import FleetTarget
+from sequoia_policy.verdicts import Verdict
+from sequoia_wire.clients import Call, HttpClient, Patience
+from sequoia_wire.messages import (
+    Answer,
+    AnswerHead,
+    Header,
+    RequestHead,
+    read_address,
+)
+
+from sequoia_rollouts.dialects import AnswerLabels, CallLabels, TargetDialect
+
+CONNECT_PATIENCE = timedelta(milliseconds=300)
+SLOWEST_ANSWER = timedelta(seconds=30)  # without a byte of progress
+SHORTEST_PATIENCE = timedelta(milliseconds=1)
+GONE_STATUS = 421
+OWN_HEADERS = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+
+
+@frozen
+class Outgoing:
+    """A request for a target, before it is labelled."""
+
+    id: str
+    head: RequestHead
+    body: bytes = field(default=b'', repr=False)
+
+
+@frozen
+class LabelledAnswer:
+    """A whole answer with what its head says."""
+
+    answer: Answer
+    labels: AnswerLabels
+
+
+@define
+class Sender:
+    """Sends requests to targets."""
+
+    clock: Clock
+    dialect: TargetDialect
+    client: HttpClient = field(factory=HttpClient)
+
+    def open(self, target: FleetTarget) -> Call:
+        """Return a call to a target, to be used with ``async with``."""
+        address = read_address(target.registration.address)
+        return self.client.call(
+            address,
+            Patience(CONNECT_PATIENCE, SLOWEST_ANSWER),
+        )
+
+    async def fetch(
+        self,
+        target: FleetTarget,
+        outgoing: Outgoing,
+        patience: timedelta,
+        time_left: timedelta | None,
+    ) -> LabelledAnswer:
+        """Send a request and return the whole answer.
+
+        Args:
+            target: Where to send it.
+            outgoing: The request.
+            patience: Longest time to wait for the whole answer.
+            time_left: Time that the target is told it has.
+
+        Raises:
+            ShedError: With verdict NOT_RUN only if the target cannot have
+                run the request.
+        """
+        labels = CallLabels(outgoing.id, target.name, time_left)
+        async with self.open(target) as call:
+            return await self._fetch_within(call, outgoing, labels, patience)
+
+    async def start(
+        self,
+        call: Call,
+        outgoing: Outgoing,
+        labels: CallLabels,
+    ) -> AnswerHead:
+        """Send a request on an open call and return the answer's head.
+
+        Raises:
+            ShedError: If the target refused it, or answered another request.
+        """
+        added = self.dialect.label(labels)
+        head = RequestHead(
+            outgoing.head.method,
+            outgoing.head.target,
+            (*strip_own_headers(outgoing.head.headers), *added),
+        )
+        answer = await call.send(head, outgoing.body)
+        read = self.dialect.read_labels(answer)
+        if read.not_run:
+            raise ShedError(
+                Code.MISPLACED
+                if answer.status == GONE_STATUS
+                else Code.TARGET_REFUSED,
+                f'{labels.target} answered {answer.status}',
+                verdict=Verdict.NOT_RUN,
+            )
+        if read.request_id and read.request_id != outgoing.id:
+            raise ShedError(Code.WRONG_ANSWER, 'answer of another request')
+        return answer
+
+    async def _fetch_within(
+        self,
+        call: Call,
+        outgoing: Outgoing,
+        labels: CallLabels,
+        patience: timedelta,
+    ) -> LabelledAnswer:
+        limit = max(SHORTEST_PATIENCE, patience).total_seconds()
+        try:
+            async with curio.timeout_after(limit):
+                return await self._fetch(call, outgoing, labels)
+        except curio.TaskTimeout as late:
+            raise ShedError(
+                Code.TARGET_STALLED,
+                f'{labels.target} did not answer in {limit:.2f} s',
+                verdict=Verdict.MAY_HAVE_RUN if call.sent else Verdict.NOT_RUN,
+            ) from late
+
+    async def _fetch(
+        self,
+        call: Call,
+        outgoing: Outgoing,
+        labels: CallLabels,
+    ) -> LabelledAnswer:
+        head = await self.start(call, outgoing, labels)
+        body = await call.read_body()
+        return LabelledAnswer(
+            Answer(head, body),
+            self.dialect.read_labels(head),
+        )
+
+
+def strip_own_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
+    """Return headers without those that concern one connection only."""
+    return tuple(
+        header for header in headers if header[0] not in OWN_HEADERS
+    )
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/tables.py
@@ -0,0 +1,189 @@
+"""Tables, parts and keys of the service's own rows, and their content."""
+
+import zlib
+from collections.abc import Iterable
+
+from attrs import field, frozen
+from sequoia_policy.presences import Heartbeat
+from sequoia_policy.submissions import ItemResult, Ownership, Submission
+from sequoia_wire.codecs import decode, encode
+
+from sequoia_rollouts.stores import Row, RowKey, RowRange, RowWrite
+
+OWNERSHIP = 'ownership'
+SPECIFICATIONS = 'specifications'
+RESULTS = 'results'
+HOSTS = 'hosts'
+SHARDS = tuple(f's{number:02d}' for number in range(16))
+PIECE_BYTES = 45000  # raw bytes of one row of a long content
+SUBMISSION_PREFIX = 'submission/'
+DUTY_PREFIX = 'duty/'
+AFTER_SLASH = '0'  # follows the slash in byte order
+
+
+@frozen
+class Duty:
+    """Who performs a task that only one host may do at a time."""
+
+    owner: str
+
+
+@frozen
+class StoredResults:
+    """Results of a submission from a position on.
+
+    Attributes:
+        more: Whether the store has further results.
+    """
+
+    results: tuple[ItemResult, ...] = field(repr=False)
+    more: bool = False
+
+
+def find_shard(name: str) -> str:
+    """Return the part that holds all rows of a submission or duty."""
+    return SHARDS[zlib.crc32(name.encode()) % len(SHARDS)]
+
+
+def submission_key(submission_id: str) -> RowKey:
+    """Return the key of a submission's ownership."""
+    shard = find_shard(submission_id)
+    return RowKey(OWNERSHIP, shard, f'{SUBMISSION_PREFIX}{submission_id}')
+
+
+def duty_key(name: str) -> RowKey:
+    """Return the key of a duty's ownership."""
+    return RowKey(OWNERSHIP, find_shard(name), f'{DUTY_PREFIX}{name}')
+
+
+def heartbeat_key(host: str) -> RowKey:
+    """Return the key of a host's heartbeat."""
+    return RowKey(HOSTS, '', host)
+
+
+def read_ownership(body: bytes) -> Ownership:
+    """Decode the ownership of a submission.
+
+    Raises:
+        ShedError: If it cannot be read.
+    """
+    return decode(body, Ownership)
+
+
+def read_duty(body: bytes) -> Duty:
+    """Decode the ownership of a duty.
+
+    Raises:
+        ShedError: If it cannot be read.
+    """
+    return decode(body, Duty)
+
+
+def read_heartbeat(body: bytes) -> Heartbeat:
+    """Decode a heartbeat.
+
+    Raises:
+        ShedError: If it cannot be read.
+    """
+    return decode(body, Heartbeat)
+
+
+def write_ownership(submission_id: str, ownership: Ownership) -> RowWrite:
+    """Return the write of a submission's ownership."""
+    return RowWrite(submission_key(submission_id), encode(ownership))
+
+
+def write_specification(submission: Submission) -> tuple[RowWrite, ...]:
+    """Return the writes that keep a submission's specification."""
+    return split_content(
+        SPECIFICATIONS,
+        submission.id,
+        submission.id,
+        encode(submission),
+    )
+
+
+def write_result(
+    submission_id: str,
+    position: int,
+    outcome: ItemResult,
+) -> tuple[RowWrite, ...]:
+    """Return the writes that keep the result at a position."""
+    return split_content(
+        RESULTS,
+        submission_id,
+        f'{submission_id}/{position:06d}',
+        encode(outcome),
+    )
+
+
+def split_content(
+    table: str,
+    submission_id: str,
+    prefix: str,
+    content: bytes,
+) -> tuple[RowWrite, ...]:
+    """Spread a content over rows that are small enough."""
+    part = find_shard(submission_id)
+    starts = range(0, max(1, len(content)), PIECE_BYTES)
+    return tuple(
+        RowWrite(
+            RowKey(table, part, f'{prefix}/{number:04d}'),
+            content[start : start + PIECE_BYTES],
+        )
+        for number, start in enumerate(starts)
+    )
+
+
+def specification_range(submission_id: str) -> RowRange:
+    """Return the range of a submission's specification."""
+    return RowRange(
+        SPECIFICATIONS,
+        find_shard(submission_id),
+        f'{submission_id}/',
+        f'{submission_id}{AFTER_SLASH}',
+    )
+
+
+def results_range(submission_id: str, after: int = 0) -> RowRange:
+    """Return the range of a submission's results from a position on."""
+    return RowRange(
+        RESULTS,
+        find_shard(submission_id),
+        f'{submission_id}/{after:06d}/',
+        f'{submission_id}{AFTER_SLASH}',
+    )
+
+
+def join_specification(rows: Iterable[Row]) -> Submission:
+    """Decode a submission from the rows of its specification.
+
+    Raises:
+        ShedError: If they cannot be read.
+    """
+    content = b''.join(row.body or b'' for row in rows)
+    return decode(content, Submission)
+
+
+def join_results(rows: Iterable[Row], *, more: bool) -> StoredResults:
+    """Decode results from rows in order of position.
+
+    Args:
+        rows: Rows of a range of results.
+        more: Whether the range went on; the last result is then left out,
+            as it may lack pieces.
+
+    Raises:
+        ShedError: If one cannot be read.
+    """
+    contents: dict[str, bytes] = {}
+    for row in rows:
+        position = row.key.key.split('/')[1]
+        contents[position] = contents.get(position, b'') + (row.body or b'')
+    wholes = list(contents.values())
+    if more and len(wholes) > 1:
+        wholes.pop()
+    return StoredResults(
+        tuple(decode(whole, ItemResult) for whole in wholes),
+        more,
+    )
--- a/packages/wire/sequoia_wire/clients.py
+++ b/packages/wire/sequoia_wire/clients.py
@@ -1,5 +1,7 @@
 """An HTTP client that knows whether a request can have reached its target."""
 
+import re
+import time
 from collections import defaultdict
 from datetime import timedelta
 from typing import Any
@@ -21,6 +23,8 @@
 from sequoia_wire.sockets import connect
 
 READ_SIZE = 65536  # bytes
+KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d{1,6})')
+EXPIRY_MARGIN = timedelta(milliseconds=500)
 IDLE_CONNECTIONS_PER_ADDRESS = 32
 
 
@@ -40,6 +44,11 @@
 DEFAULT_PATIENCE = Patience()
 
 
+def now_seconds() -> timedelta:
+    """Return the monotonic time by which idle connections expire."""
+    return timedelta(seconds=time.monotonic())
+
+
 @define
 class ClientConnection:
     """One connection to one address; serves one call at a time."""
@@ -49,6 +58,7 @@
     state: h11.Connection = field(
         factory=lambda: h11.Connection(our_role=h11.CLIENT),
     )
+    expires: timedelta | None = None
 
     async def send_events(self, *events: h11.Event) -> None:
         """Send the bytes of ``events`` in one write."""
@@ -73,13 +83,17 @@
         await self.sock.close()
 
     def is_reusable(self) -> bool:
-        """Tell whether both sides ended their message cleanly."""
+        """Tell whether both sides ended their message and sent no more."""
         if self.state.our_state is not h11.DONE:
             return False
-        return self.state.their_state is h11.DONE
+        if self.state.their_state is not h11.DONE:
+            return False
+        return not self.state.trailing_data[0]
 
     def is_stale(self) -> bool:
         """Tell whether the peer closed, or sent bytes nobody asked for."""
+        if self.expires is not None and now_seconds() >= self.expires:
+            return True
         try:
             self.sock._socket.recv(1)  # noqa: SLF001
         except (BlockingIOError, InterruptedError):
@@ -130,7 +144,7 @@
         request = h11.Request(
             method=head.method,
             target=head.target,
-            headers=[*self._own_headers(body), *head.headers],
+            headers=[*self._own_headers(head, body), *head.headers],
         )
         self.sent = True
         await self._send_request(request, body)
@@ -154,13 +168,15 @@
             chunk = await self.read_chunk()
         return b''.join(parts)
 
-    def _own_headers(self, body: bytes) -> tuple[Header, ...]:
-        return encode_headers(
-            {
-                'host': str(self.address),
-                'content-length': str(len(body)),
-            },
-        )
+    def _own_headers(
+        self,
+        head: RequestHead,
+        body: bytes,
+    ) -> tuple[Header, ...]:
+        length = encode_headers({'content-length': str(len(body))})
+        if head.header('host'):
+            return length
+        return (*encode_headers({'host': str(self.address)}), *length)
 
     async def _send_request(self, request: h11.Request, body: bytes) -> None:
         assert self.connection
@@ -184,7 +200,10 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ShedError(Code.TARGET_BROKE, 'no answer head')
-        return AnswerHead(event.status_code, tuple(event.headers))
+        head = AnswerHead(event.status_code, tuple(event.headers))
+        assert self.connection
+        self.connection.expires = read_expiry(head)
+        return head
 
     async def _next_event(self) -> h11.Event:
         assert self.connection
@@ -198,6 +217,7 @@
     idle: dict[Address, list[ClientConnection]] = field(
         factory=lambda: defaultdict(list),
     )
+    idle_limit: int = IDLE_CONNECTIONS_PER_ADDRESS
 
     def call(self, address: Address, patience: Patience) -> Call:
         """Return a call to ``address``, to be used with ``async with``."""
@@ -247,7 +267,7 @@
             return
         waiting = self.idle[connection.address]
         reusable = connection.is_reusable()
-        if reusable and len(waiting) < IDLE_CONNECTIONS_PER_ADDRESS:
+        if reusable and len(waiting) < self.idle_limit:
             connection.state.start_next_cycle()
             waiting.append(connection)
             return
@@ -260,6 +280,14 @@
                 await waiting.pop().close()
 
 
+def read_expiry(head: AnswerHead) -> timedelta | None:
+    """Return when the peer may close the connection, None if unknown."""
+    match = KEEP_ALIVE_TIMEOUT.search(head.header('keep-alive') or '')
+    if match is None:
+        return None
+    return now_seconds() + timedelta(seconds=int(match[1])) - EXPIRY_MARGIN
+
+
 def verdict_of(failure: ShedError, *, sent: bool) -> Verdict:
     """Return NOT_RUN if nothing was sent, else the failure's verdict."""
     return failure.verdict if sent else Verdict.NOT_RUN
--- a/packages/wire/sequoia_wire/clocks.py
+++ b/packages/wire/sequoia_wire/clocks.py
@@ -15,5 +15,8 @@
         return datetime.now(UTC)
 
     def elapsed(self) -> timedelta:
-        """Return the monotonic time of the machine."""
-        return timedelta(seconds=time.monotonic())
+        """Return the time since boot, with the time spent suspended.
+
+        A host that was suspended must not think that its leases still hold.
+        """
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
--- a/packages/wire/sequoia_wire/servers.py
+++ b/packages/wire/sequoia_wire/servers.py
@@ -29,7 +29,12 @@
 
 @define
 class HttpServer:
-    """Accepts connections and passes each request to a handler."""
+    """Accepts connections and passes each request to a handler.
+
+    Attributes:
+        closing: Whether each connection ends after its next answer.
+        draining: Whether no connection is accepted any more.
+    """
 
     address: Address
     handler: Handler
@@ -37,6 +42,7 @@
     on_refusal: RefusalObserver = ignore_refusal
     connections: set['ServerConnection'] = field(factory=set)
     draining: bool = False
+    closing: bool = False
     listener: curio.io.Socket | None = None
     accepting: curio.Task | None = None
 
@@ -116,7 +122,7 @@
         serving = True
         while serving:
             exchange = Exchange(self.sock, state, self.server.limits)
-            exchange.closing = self.server.draining
+            exchange.closing = self.server.draining or self.server.closing
             serving = await self._serve_one(exchange)
 
     async def _serve_one(self, exchange: Exchange) -> bool:
