Keep a model's submissions with one host, live requests near

Each step went to another host, which opened up to 40 connections; each live request went to any of three targets from any of ten hosts.

--- a/packages/policy/sequoia_policy/fleets.py
+++ b/packages/policy/sequoia_policy/fleets.py
@@ -11,6 +11,7 @@
 MOST_DOUBLINGS = 3
 SMOOTHING = 0.3  # weight of the newest duration
 FORGET_AFTER = timedelta(seconds=4)  # age at which a duration counts no more
+SLOW_FACTOR = 3  # times the usual duration
 UNKNOWN_SECONDS = 0.05  # assumed duration of an unknown target
 
 
@@ -196,14 +197,31 @@
 
 def find_usual(targets: Collection[FleetTarget], now: timedelta) -> float:
     """Return the median of the known durations."""
-    known = sorted(
-        seconds
-        for seconds in (target.known_seconds(now) for target in targets)
-        if seconds is not None
-    )
+    durations = [target.known_seconds(now) for target in targets]
+    known = sorted(one for one in durations if one is not None)
     return known[len(known) // 2] if known else UNKNOWN_SECONDS
 
 
+def keep_near(
+    usable: list[FleetTarget],
+    domain: str,
+    now: timedelta,
+) -> list[FleetTarget]:
+    """Return the targets of a failure domain that are not slow, or all.
+
+    A host that keeps to few targets keeps few connections, and its requests
+    stay in its failure domain.
+    """
+    longest = find_usual(usable, now) * SLOW_FACTOR
+    near = [
+        target
+        for target in usable
+        if target.registration.domain == domain
+        and target.estimate(now, 0) <= longest
+    ]
+    return near or usable
+
+
 def choose_of_two(
     usable: list[FleetTarget],
     now: timedelta,
--- a/packages/rollouts/sequoia_rollouts/desks.py
+++ b/packages/rollouts/sequoia_rollouts/desks.py
@@ -217,14 +217,12 @@
 
     async def _keep(self, submission: Submission) -> OwnedSubmission | None:
         """Write a new submission; None if it was there before."""
-        heartbeats = self.board.heartbeats
-        takes = heartbeats.holds_lease() and not heartbeats.own.draining
         pieces = write_specification(submission)
         ownership = Ownership(
-            heartbeats.owner if takes else '',
+            self.board.choose_owner(submission.model or submission.path),
             len(submission.items),
             len(pieces),
-            accepted=heartbeats.store_now(),
+            accepted=self.board.heartbeats.store_now(),
         )
         writes = (write_ownership(submission.id, ownership), *pieces)
         guards = tuple(Guard(write.key, ABSENT) for write in writes)
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -129,7 +129,13 @@
             placer,
             rewards,
         )
-        self.live = LivePath(self.clock, self.directory, sender, self.chance)
+        self.live = LivePath(
+            self.clock,
+            self.directory,
+            sender,
+            self.chance,
+            self.settings.domain,
+        )
         self.desk = SubmissionDesk(
             store,
             self.clock,
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -8,7 +8,7 @@
 from sequoia_policy.budgets import RetryBudget
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
-from sequoia_policy.fleets import FleetTarget, choose_of_two
+from sequoia_policy.fleets import FleetTarget, choose_of_two, keep_near
 from sequoia_policy.retries import AttemptFacts, find_retry_refusal
 from sequoia_policy.routing import Route
 from sequoia_policy.verdicts import Verdict, merge_verdicts
@@ -97,6 +97,7 @@
     directory: Directory
     sender: Sender
     chance: random.Random
+    domain: str
     budget: RetryBudget = field(factory=lambda: RetryBudget(RETRY_SHARE))
 
     def find_route(self, host: str, path: str) -> Route:
@@ -162,7 +163,8 @@
                 retry_after=RETRY_AFTER,
             )
         fresh = [one for one in usable if one.name not in attempts.tried]
-        return choose_of_two(fresh or usable, now, self.chance)
+        near = keep_near(fresh or usable, self.domain, now)
+        return choose_of_two(near, now, self.chance)
 
     def _find_paused(self, service: str) -> list[FleetTarget]:
         """Return the targets that failed last, better than none."""
--- a/packages/rollouts/sequoia_rollouts/owners.py
+++ b/packages/rollouts/sequoia_rollouts/owners.py
@@ -111,6 +111,15 @@
         if known.ownership.owner == self.heartbeats.owner:
             await self._change_owner(known, '')
 
+    def choose_owner(self, key: str) -> str:
+        """Return the live process that should own what has this key.
+
+        What has the same key goes to the same host while it lives, which
+        then has open connections to the targets; empty if none is known.
+        """
+        live = self.heartbeats.live_owners()
+        return rank_names(key, live)[0] if live else ''
+
     def count_owners(self) -> int:
         """Return how many hosts own a submission that is not ended."""
         owners = {
