--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -167,6 +167,17 @@
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_reload)
+        async with curio.TaskGroup(wait=None) as group:
+            await self.start(handler, group)
+            await self.stop.wait()
+            await self.shut_down()
+
+    async def start(
+        self,
+        handler: Callable[[Exchange], Awaitable[None]],
+        group: curio.TaskGroup,
+    ) -> None:
+        """Open the host's addresses and run its parts in a group of tasks."""
         self.front = HttpServer(self.settings.front, handler)
         self._take_limits()
         self.front.open()
@@ -183,14 +194,12 @@
             self.weights.run,
             self.run_reloads,
         ):
-            await curio.spawn(work, daemon=True)
+            await group.spawn(work)
         log.write(
             'host started',
             host=self.settings.name,
             owner=self.heartbeats.owner,
         )
-        await self.stop.wait()
-        await self._shut_down()
 
     async def run_reloads(self) -> None:
         """Follow the settings until cancelled.
@@ -216,7 +225,8 @@
         self.settings = settings
         self.weights.set_lease(settings.order_lease)
 
-    async def _shut_down(self) -> None:
+    async def shut_down(self) -> None:
+        """Let everything in flight end, and hand the rest over."""
         self.draining = True
         self.front.closing = True
         self.heartbeats.own = evolve(self.heartbeats.own, draining=True)
--- /dev/null
+++ b/tests/platform_adapter/sites.py
@@ -0,0 +1,235 @@
+"""A whole small site in one process: store, engines, hosts, a client."""
+
+import base64
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import curio
+import orjson
+from attrs import define, field
+from engine_standin import (
+    MODEL,
+    SCORERS,
+    SERVICE,
+    EngineStandin,
+    PlainStandin,
+)
+from sequoia_platform.engines import PlatformDialect
+from sequoia_platform.entries import PlatformReader
+from sequoia_platform.ingress import Ingress
+from sequoia_platform.stores import PlatformStore
+from sequoia_rollouts.hosts import HostSettings, Outside, RolloutHost
+from sequoia_wire.clients import HttpClient, Patience
+from sequoia_wire.clocks import SystemClock
+from sequoia_wire.messages import Address, RequestHead, encode_headers
+from store_standin import StoreStandin
+
+AUTHORITY = 'site.example'
+ANY = Address('127.0.0.1', 0)
+PATIENCE = Patience(timedelta(seconds=1), timedelta(seconds=15))
+SOON = 6.0  # seconds
+
+
+def make_manifest(version=3, **changes):
+    rollout = {
+        'name': 'rollouts',
+        'host': AUTHORITY,
+        'pathPrefix': '/train/',
+        'kind': 'rollout',
+        'service': SERVICE,
+        'timeoutMs': 10000,
+        'targetLatencyMs': 500,
+        'maxAttempts': 3,
+        'maxAgeS': 60,
+        'dueMs': 7500,
+        **changes,
+    }
+    live = {
+        'name': 'live',
+        'host': AUTHORITY,
+        'pathPrefix': '/live/',
+        'kind': 'idempotent',
+        'service': SCORERS,
+        'timeoutMs': 2000,
+        'targetLatencyMs': 200,
+        'maxAttempts': 2,
+    }
+    return {
+        'version': version,
+        'routes': [
+            rollout,
+            live,
+            {**live, 'name': 'score', 'pathPrefix': '/score/'},
+            {
+                **live,
+                'name': 'once',
+                'pathPrefix': '/once/',
+                'kind': 'non_idempotent',
+            },
+        ],
+        'services': [
+            {
+                'name': SERVICE,
+                'maxConns': 100,
+                'engine': {'models': [{'name': MODEL}]},
+            },
+            {'name': SCORERS, 'maxConns': 100},
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 1000000,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+    }
+
+
+def make_lot(count=6, min_version=1):
+    def make_item(number):
+        return {
+            'id': f'item{number}',
+            'path': f'/train/x/{number}',
+            'headers': {'Model': MODEL, 'Token-Count': '10,40'},
+            'body': base64.b64encode(f'body {number}'.encode()).decode(),
+            'tokens': 50,
+            'group': f'g{number // 2}',
+            'scorer': {
+                'id': f'score{number}',
+                'host': AUTHORITY,
+                'path': f'/score/{number}',
+                'body': '',
+            },
+        }
+
+    return {
+        'step': 1,
+        'model': MODEL,
+        'minVersion': min_version,
+        'groupCount': count // 2,
+        'requests': [make_item(number) for number in range(count)],
+    }
+
+
+@define(eq=False)
+class Site:
+    """All parts of a site, and calls as a client makes them."""
+
+    store: StoreStandin = field(factory=StoreStandin)
+    engines: list = field(factory=list)
+    scorers: list = field(factory=list)
+    hosts: list = field(factory=list)
+    groups: dict = field(factory=dict)
+    client: HttpClient = field(factory=HttpClient)
+
+    def publish(self):
+        for server in (*self.engines, *self.scorers):
+            self.store.put('servers', server.name, server.entry())
+
+    async def start_host(self, name, boot=True):
+        settings = HostSettings(
+            name,
+            'z1',
+            ANY,
+            ANY,
+            timedelta(seconds=8),
+            timedelta(milliseconds=300),
+        )
+        outside = Outside(
+            PlatformStore(self.store.server.address),
+            PlatformDialect(),
+            PlatformReader(),
+            lambda: settings,
+        )
+        host = RolloutHost(settings, outside, SystemClock())
+        group = curio.TaskGroup(wait=None)
+        await host.start(Ingress(host).handle, group)
+        self.hosts.append(host)
+        self.groups[name] = group
+        if boot:
+            await wait_until(lambda: host.is_ready)
+            await wait_until(host.heartbeats.holds_lease)
+            await wait_until(lambda: host.board.follower.version)
+        return host
+
+    async def kill(self, host):
+        """End a host as a kill does: nothing is told to anyone."""
+        await self.groups.pop(host.settings.name).cancel_remaining()
+        for runner in host.desk.runners.values():
+            await runner.stop()
+        for connection in tuple(host.front.connections):
+            await connection.task.cancel()
+        await host.front.listener.close()
+        await host.ready.listener.close()
+        self.hosts.remove(host)
+
+    async def call(self, host, method, path, body=b'', **headers):
+        texts = {'host': AUTHORITY, 'deadline-ms': '3000', **headers}
+        head = RequestHead(
+            method,
+            path,
+            encode_headers(
+                {name.replace('_', '-'): text for name, text in texts.items()},
+            ),
+        )
+        address = host.front.address
+        return await self.client.fetch(address, head, body, PATIENCE)
+
+    async def submit(self, host, lot='lot1', **options):
+        body = orjson.dumps(make_lot(**options))
+        return await self.call(
+            host,
+            'POST',
+            '/train/x',
+            body,
+            attempt_id=lot,
+        )
+
+    async def read_whole(self, host, lot='lot1', seconds=SOON):
+        """Return all results, read page by page."""
+        found = []
+        async with curio.timeout_after(seconds):
+            while True:
+                answer = await self.call(
+                    host,
+                    'GET',
+                    f'/v1/lots/{lot}?after={len(found)}',
+                    wait_ms='1000',
+                )
+                if answer.status != 200:
+                    await curio.sleep(0.1)
+                    continue
+                page = orjson.loads(answer.body)
+                found.extend(page['results'])
+                assert page['next'] == len(found)
+                if len(found) >= page['total']:
+                    return found
+
+
+async def wait_until(holds, seconds=SOON):
+    async with curio.timeout_after(seconds):
+        while not holds():
+            await curio.sleep(0.01)
+
+
+@asynccontextmanager
+async def open_site(hosts=1, engines=2, scorers=1, **options):
+    """Run a site with hosts named h1, h2 and so on."""
+    site = Site()
+    site.engines = [
+        EngineStandin(f'e{number}', **options) for number in range(engines)
+    ]
+    site.scorers = [PlainStandin(f'p{number}') for number in range(scorers)]
+    servers = [one.server for one in (site.store, *site.engines, *site.scorers)]
+    async with curio.TaskGroup(wait=None) as group:
+        for server in servers:
+            server.open()
+            await group.spawn(server.run)
+        site.publish()
+        site.store.put('op', 'config', make_manifest())
+        try:
+            for number in range(1, hosts + 1):
+                await site.start_host(f'h{number}')
+            yield site
+        finally:
+            for left in site.groups.values():
+                await left.cancel_remaining()
--- /dev/null
+++ b/tests/platform_adapter/store_standin.py
@@ -0,0 +1,170 @@
+"""A stand-in of the platform's store, with faults that tests set."""
+
+import base64
+from urllib.parse import parse_qs
+
+import curio
+import orjson
+from attrs import define, field
+from sequoia_wire.messages import Address
+from sequoia_wire.servers import HttpServer
+
+FEED_LOOK = 0.005  # seconds
+MOST_ROWS = 500
+
+
+@define(eq=False)
+class StoreStandin:
+    """Keeps rows in memory and speaks the platform's protocol.
+
+    Attributes:
+        rows: Value and version by table, part and key.
+        history: Changed rows in order of version.
+        oldest: Version before which the history is forgotten.
+        down: Status of every answer while the store is down; 0 if it is up.
+        lose: Number of writes that are carried out but not answered.
+        calls: Number of calls by path.
+    """
+
+    rows: dict = field(factory=dict)
+    history: list = field(factory=list)
+    version: int = 1
+    oldest: int = 0
+    down: int = 0
+    lose: int = 0
+    calls: dict = field(factory=dict)
+    server: HttpServer = field(init=False)
+
+    def __attrs_post_init__(self):
+        self.server = HttpServer(Address('127.0.0.1', 0), self.handle)
+
+    def put(self, table, key, fields, part=''):
+        """Write a row as an operator or a server does."""
+        self.put_bytes(table, key, orjson.dumps(fields), part)
+
+    def put_bytes(self, table, key, content, part=''):
+        value = None
+        if content is not None:
+            value = base64.b64encode(content).decode()
+        self.version += 1
+        self.write((table, part, key), value)
+
+    def remove(self, table, key, part=''):
+        self.put_bytes(table, key, None, part)
+
+    def forget_history(self):
+        self.oldest = self.version + 1
+        self.version += 2
+
+    def write(self, name, value):
+        if value is None:
+            self.rows.pop(name, None)
+        else:
+            self.rows[name] = (value, self.version)
+        self.history.append((self.version, name, value))
+
+    def show(self, name):
+        table, part, key = name
+        fields = {'table': table, 'part': part, 'key': key, 'ver': 0}
+        if name in self.rows:
+            value, version = self.rows[name]
+            return {**fields, 'value': value, 'ver': version}
+        return fields
+
+    def find(self, table):
+        """Return the decoded rows of a table by key."""
+        return {
+            name[2]: base64.b64decode(value)
+            for name, (value, _version) in self.rows.items()
+            if name[0] == table
+        }
+
+    async def handle(self, exchange):
+        path = exchange.head.path
+        body = await exchange.read_body()
+        self.calls[path] = self.calls.get(path, 0) + 1
+        if self.down:
+            await exchange.answer(self.down)
+            return
+        query = {
+            name: texts[0]
+            for name, texts in parse_qs(
+                exchange.head.target.partition('?')[2],
+                keep_blank_values=True,
+            ).items()
+        }
+        if path == '/v1/rows-tx':
+            status, fields = self.transact(orjson.loads(body))
+            if self.lose:
+                self.lose -= 1
+                raise ConnectionAbortedError('answer lost')
+        elif path == '/v1/rows-get':
+            status, fields = 200, self.read(query)
+        else:
+            status, fields = await self.follow(query)
+        await exchange.answer(
+            status,
+            orjson.dumps({**fields, 'ver': self.version, 'nowMs': 50000}),
+        )
+
+    def transact(self, fields):
+        names = {
+            name_of(entry): entry['ver'] for entry in fields['expectedRev']
+        }
+        held = all(
+            self.show(name)['ver'] == version for name, version in names.items()
+        )
+        if not held:
+            return 412, {'rows': [self.show(name) for name in names]}
+        written = [*fields['setKeys'], *fields['remove']]
+        assert len(written) + len(names) <= 200
+        assert len({entry['part'] for entry in written}) == 1
+        self.version += 1
+        for entry in fields['setKeys']:
+            assert len(entry['value']) <= 65536
+            self.write(name_of(entry), entry['value'])
+        for entry in fields['remove']:
+            self.write(name_of(entry), None)
+        return 200, {}
+
+    def read(self, query):
+        start, end = query.get('from', ''), query.get('to')
+        keys = sorted(
+            name
+            for name in self.rows
+            if name[:2] == (query['table'], query.get('part', ''))
+            and name[2] >= start
+            and (end is None or name[2] < end)
+        )
+        rows = [self.show(name) for name in keys[:MOST_ROWS]]
+        return {'rows': rows, 'hasMore': len(keys) > MOST_ROWS}
+
+    async def follow(self, query):
+        after = int(query['after'])
+        if after < self.oldest:
+            return 410, {}
+        waited = 0.0
+        while waited < int(query['waitMs']) / 1000 and not self.down:
+            found = {
+                name: self.show_change(version, name, value)
+                for version, name, value in self.history
+                if version > after and name[0] == query['table']
+            }
+            if found:
+                return 200, {'rows': list(found.values())}
+            await curio.sleep(FEED_LOOK)
+            waited += FEED_LOOK
+            if after < self.oldest:
+                return 410, {}
+        return 200, {'rows': []}
+
+    def show_change(self, version, name, value):
+        table, part, key = name
+        fields = {'table': table, 'part': part, 'key': key, 'ver': version}
+        if value is None:
+            return {**fields, 'tombstone': True}
+        return {**fields, 'value': value}
+
+
+def name_of(entry):
+    return entry['table'], entry['part'], entry['key']
