--- a/packages/policy/sequoia_policy/fleets.py
+++ b/packages/policy/sequoia_policy/fleets.py
@@ -61,6 +61,7 @@
         measured: When ``seconds`` was last updated.
         lapsed: When its registration went; None while it is registered.
         newest: Versions seen in answers or reports, by model.
+        loading: Until when the engine takes no new run, by model.
     """
 
     registration: Registration
@@ -71,6 +72,7 @@
     paused_until: timedelta = timedelta()
     lapsed: timedelta | None = None
     newest: dict[str, int] = field(factory=dict)
+    loading: dict[str, timedelta] = field(factory=dict)
 
     @property
     def name(self) -> str:
@@ -91,6 +93,14 @@
         registered = self.registration.version_of(model) or 0
         return max(registered, self.newest.get(model, 0))
 
+    def is_loading(self, model: str, now: timedelta) -> bool:
+        """Tell whether the engine is busy loading a version of a model."""
+        return now < self.loading.get(model, timedelta())
+
+    def note_loading(self, model: str, until: timedelta) -> None:
+        """Remember that the engine loads a version of a model."""
+        self.loading[model] = until
+
     def note_version(self, model: str, version: int) -> None:
         """Remember a version that the target showed."""
         self.newest[model] = max(version, self.newest.get(model, 0))
--- a/packages/rollouts/sequoia_rollouts/directories.py
+++ b/packages/rollouts/sequoia_rollouts/directories.py
@@ -11,8 +11,10 @@
 from sequoia_wire.logs import Log
 
 from sequoia_rollouts.followers import TableFollower
+from sequoia_rollouts.notes import EngineNote
 from sequoia_rollouts.stores import Row, Store
 
+LONGEST_LOAD = timedelta(seconds=2)  # unless the end is told before
 LAPSE_GRACE = timedelta(milliseconds=2200)
 TROUBLE_SPAN = timedelta(seconds=3)  # after which removals are believed
 
@@ -97,6 +99,25 @@
             return None
         return self.clock.elapsed() - self.operators.in_touch
 
+    def take_note(self, name: str, note: EngineNote) -> None:
+        """Take what the host that orders an engine says of it."""
+        target = self.fleet.targets.get(name)
+        if target is None:
+            return
+        log.write(
+            'engine note',
+            target=name,
+            model=note.model,
+            version=note.version,
+            loading=note.loading,
+        )
+        if note.loading:
+            until = self.clock.elapsed() + LONGEST_LOAD
+            target.note_loading(note.model, until)
+        else:
+            target.note_loading(note.model, timedelta())
+            target.note_version(note.model, note.version)
+
     async def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             await self._take_operator_row(row)
--- a/packages/rollouts/sequoia_rollouts/generations.py
+++ b/packages/rollouts/sequoia_rollouts/generations.py
@@ -1,5 +1,7 @@
 """Runs one item at an engine, going on where an earlier run stopped."""
 
+import enum
+from collections.abc import Callable
 from datetime import timedelta
 
 from attrs import define, field
@@ -15,18 +17,34 @@
 from sequoia_rollouts.events import EventReader, StreamEvent
 from sequoia_rollouts.senders import CONNECT_PATIENCE, Outgoing, Sender
 
+EVENTS_BEFORE_MOVE = 4  # over which the pace of a run is measured
 GAP_PATIENCE = timedelta(seconds=3)  # longest silence of an engine
 OK = 200
 FAILED = 500
 IMPOSSIBLE = 422
 
 
-class RunFailedError(Exception):
-    """The engine ran the item and answered with a failure."""
+class RunEnd(enum.Enum):
+    """Why a run ended without the whole text.
+
+    Attributes:
+        MOVED: A faster engine goes on.
+        FAILED: The engine answered with a failure.
+        IMPOSSIBLE: The item can never be done.
+    """
+
+    MOVED = 'moved'
+    FAILED = 'failed'
+    IMPOSSIBLE = 'impossible'
 
 
-class ImpossibleItemError(Exception):
-    """The item can never be done."""
+class RunEndedError(Exception):
+    """A run ended at its engine without the whole text."""
+
+    def __init__(self, end: RunEnd) -> None:
+        """Create the error."""
+        super().__init__(end.value)
+        self.end = end
 
 
 @define
@@ -38,6 +56,9 @@
         version: Version that made the last event; None before the first.
         versions: All versions that made an event.
         done: Whether the stream ended whole.
+        started: When the item was first sent to an engine.
+        moved: When the last event came.
+        longest_gap: Longest time between two events.
     """
 
     item: Item
@@ -46,9 +67,15 @@
     version: int | None = None
     versions: set[int] = field(factory=set)
     done: bool = False
+    started: timedelta | None = None
+    moved: timedelta | None = None
+    longest_gap: timedelta = timedelta()
 
-    def accept(self, event: StreamEvent) -> None:
+    def accept(self, event: StreamEvent, now: timedelta) -> None:
         """Take the next event."""
+        if self.moved is not None:
+            self.longest_gap = max(self.longest_gap, now - self.moved)
+        self.moved = now
         self.texts.append(event.text)
         self.last_number = event.number
         if self.version is not None:
@@ -75,25 +102,21 @@
     sender: Sender
     submission: Submission
     single_version: bool
+    finds_faster: Callable[[FleetTarget], bool]
 
     async def run(self, generation: Generation, target: FleetTarget) -> None:
         """Generate at one engine until the stream ends.
 
         Raises:
-            RunFailedError: If the engine answered with a failure.
-            ImpossibleItemError: If the item can never be done.
+            RunEndedError: If the engine cannot or should not go on.
             ShedError: If the run broke off; what was received is kept.
         """
-        started = self.clock.elapsed()
-        before = len(generation.texts)
+        generation.started = generation.started or self.clock.elapsed()
         call = self.sender.open(target)
         call.patience = Patience(CONNECT_PATIENCE, GAP_PATIENCE)
         async with call:
             await self._start(call, generation, target)
             await self._read_stream(call, generation, target)
-        now = self.clock.elapsed()
-        made = max(1, len(generation.texts) - before)
-        target.record_duration((now - started).total_seconds() / made, now)
 
     async def _start(
         self,
@@ -118,9 +141,9 @@
         """Raise what an answer without a stream means."""
         await call.read_body()
         if head.status == IMPOSSIBLE:
-            raise ImpossibleItemError(f'status {head.status}')
+            raise RunEndedError(RunEnd.IMPOSSIBLE)
         if head.status == FAILED:
-            raise RunFailedError(f'status {head.status}')
+            raise RunEndedError(RunEnd.FAILED)
         raise ShedError(
             Code.TARGET_BROKE,
             f'status {head.status}',
@@ -146,14 +169,32 @@
         target: FleetTarget,
     ) -> None:
         reader = EventReader(self.sender.dialect.version_field)
+        began = self.clock.elapsed()
+        before = len(generation.texts)
         chunk = await call.read_chunk()
         while chunk:
             self._take_chunk(reader, chunk, generation, target)
+            made = len(generation.texts) - before
+            if made >= EVENTS_BEFORE_MOVE:
+                self._measure(target, began, made)
+                began = self.clock.elapsed()
+                before = len(generation.texts)
+                if self.finds_faster(target):
+                    raise RunEndedError(RunEnd.MOVED)
             chunk = await call.read_chunk()
         if not reader.is_clean or not generation.texts:
             raise ShedError(Code.TARGET_BROKE, 'the stream is not whole')
         generation.done = True
 
+    def _measure(
+        self,
+        target: FleetTarget,
+        began: timedelta,
+        made: int,
+    ) -> None:
+        now = self.clock.elapsed()
+        target.record_duration((now - began).total_seconds() / made, now)
+
     def _take_chunk(
         self,
         reader: EventReader,
@@ -168,7 +209,7 @@
         for event in events:
             if event.version is not None:
                 self._take_version(generation, target, event.version)
-            generation.accept(event)
+            generation.accept(event, self.clock.elapsed())
 
     def _take_version(
         self,
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -50,7 +50,8 @@
         front: Address for callers.
         ready: Address that says whether the host takes callers.
         stop_limit: Time from a stop signal to the end of the process.
-        order_lease: Shortest time between orders of two hosts.
+        order_lease: Shortest time between orders of two hosts; zero where
+            engines refuse the orders of an earlier holder.
     """
 
     name: str
@@ -112,6 +113,7 @@
             self.clock,
             self.heartbeats,
             self._take_ownership,
+            self.directory.take_note,
         )
         sender = Sender(self.clock, self.outside.dialect, HttpClient())
         placer = Placer(self.clock, self.directory, self.board.count_owners)
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/notes.py
@@ -0,0 +1,37 @@
+"""Notes about engines that hosts leave for each other."""
+
+from attrs import frozen
+from sequoia_wire.codecs import decode, encode
+
+from sequoia_rollouts.stores import RowKey, RowWrite
+from sequoia_rollouts.tables import OWNERSHIP, find_shard
+
+ENGINE_PREFIX = 'engine/'
+
+
+@frozen
+class EngineNote:
+    """What the host that orders an engine tells the others of it.
+
+    Attributes:
+        loading: Whether the engine loads ``version`` now.
+    """
+
+    model: str
+    version: int
+    loading: bool
+
+
+def read_note(body: bytes) -> EngineNote:
+    """Decode the note about an engine.
+
+    Raises:
+        ShedError: If it cannot be read.
+    """
+    return decode(body, EngineNote)
+
+
+def write_note(name: str, note: EngineNote) -> RowWrite:
+    """Return the write of the note about an engine."""
+    key = RowKey(OWNERSHIP, find_shard(name), f'{ENGINE_PREFIX}{name}')
+    return RowWrite(key, encode(note))
--- a/packages/rollouts/sequoia_rollouts/owners.py
+++ b/packages/rollouts/sequoia_rollouts/owners.py
@@ -14,6 +14,7 @@
 
 from sequoia_rollouts.followers import TableFollower
 from sequoia_rollouts.heartbeats import HeartbeatKeeper
+from sequoia_rollouts.notes import ENGINE_PREFIX, EngineNote, read_note
 from sequoia_rollouts.stores import (
     Committer,
     ConflictError,
@@ -63,6 +64,7 @@
 
     Attributes:
         on_change: Called with a submission that changed.
+        on_note: Called with a note about an engine.
         free_since: When a submission was first seen without a live owner.
     """
 
@@ -70,6 +72,7 @@
     clock: Clock
     heartbeats: HeartbeatKeeper
     on_change: Callable[[OwnedSubmission], Awaitable[None]]
+    on_note: Callable[[str, EngineNote], None]
     submissions: dict[str, OwnedSubmission] = field(factory=dict)
     duties: dict[str, OwnedDuty] = field(factory=dict)
     free_since: dict[str, timedelta] = field(factory=dict)
@@ -173,6 +176,11 @@
                     row.version,
                 ),
             )
+        elif name.startswith(ENGINE_PREFIX) and row.body:
+            self.on_note(
+                name.removeprefix(ENGINE_PREFIX),
+                read_note(row.body),
+            )
         elif name.startswith(SUBMISSION_PREFIX):
             submission_id = name.removeprefix(SUBMISSION_PREFIX)
             if row.body is None:
--- a/packages/rollouts/sequoia_rollouts/placers.py
+++ b/packages/rollouts/sequoia_rollouts/placers.py
@@ -11,6 +11,7 @@
 from sequoia_rollouts.directories import Directory
 
 LOOK_PERIOD = timedelta(milliseconds=10)
+MOVE_FACTOR = 1.4  # times slower than the engine to move to
 LIVE_RESERVE = 2  # slots of a plain target that reward calls leave free
 
 
@@ -26,10 +27,12 @@
     model: str = ''
     min_version: int = 0
 
-    def fits(self, target: FleetTarget) -> bool:
-        """Tell whether an engine holds a version that is new enough."""
+    def fits(self, target: FleetTarget, now: timedelta) -> bool:
+        """Tell whether an engine can start with a version new enough."""
         if not self.model:
             return True
+        if target.is_loading(self.model, now):
+            return False
         return target.version_of(self.model) >= self.min_version
 
 
@@ -53,7 +56,7 @@
         free = [
             target
             for target in usable
-            if target.running < target.slots and need.fits(target)
+            if target.running < target.slots and need.fits(target, now)
         ]
         return self._choose(free, now)
 
@@ -87,6 +90,16 @@
         target.running += 1
         return target
 
+    def finds_faster(self, need: EngineNeed, target: FleetTarget) -> bool:
+        """Tell whether a run should go on at a much faster engine."""
+        now = self.clock.elapsed()
+        pace = target.known_seconds(now)
+        other = self.choose_engine(need)
+        if pace is None or other is None or other is target:
+            return False
+        known = other.known_seconds(now)
+        return known is not None and pace > known * MOVE_FACTOR
+
     def release(self, target: FleetTarget) -> None:
         """Give a slot back."""
         target.running -= 1
--- a/packages/rollouts/sequoia_rollouts/runners.py
+++ b/packages/rollouts/sequoia_rollouts/runners.py
@@ -22,8 +22,8 @@
 from sequoia_rollouts.generations import (
     Generation,
     Generator,
-    ImpossibleItemError,
-    RunFailedError,
+    RunEnd,
+    RunEndedError,
 )
 from sequoia_rollouts.placers import EngineNeed, Placer
 from sequoia_rollouts.recorders import Recorder
@@ -48,12 +48,23 @@
     rewards: RewardCaller
 
 
+@frozen
+class ItemRun:
+    """One run of an item at one engine."""
+
+    item: Item
+    route: Route
+    need: EngineNeed
+    target: FleetTarget
+
+
 @define(eq=False)
 class SubmissionRunner:
     """Runs items until each has a result, or the submission is lost.
 
     Attributes:
         expires: When unfinished items are given up.
+        created: When this host took the submission up.
         draining: Whether no further item starts.
     """
 
@@ -65,10 +76,12 @@
     queue: WorkQueue = field(init=False)
     generations: dict[str, Generation] = field(factory=dict)
     active: int = 0
+    created: timedelta = field(init=False)
     task: curio.Task | None = None
 
     def __attrs_post_init__(self) -> None:
         """Queue the items that have no result yet."""
+        self.created = self.parts.clock.elapsed()
         self.queue = WorkQueue(self.submission)
         self.queue.drop({known.id for known in self.recorder.listed})
 
@@ -114,64 +127,65 @@
             self.submission.model,
             self.submission.min_version,
         )
-        target = await self._place(need)
+        target = self.parts.placer.choose_engine(need)
         if target is None:
             self.queue.put_back(item)
             await curio.sleep(IDLE_LOOK.total_seconds())
             return
         target.running += 1
         self.active += 1
-        await group.spawn(self._run_item, item, route, target)
-
-    async def _place(self, need: EngineNeed) -> FleetTarget | None:
-        return self.parts.placer.choose_engine(need)
+        await group.spawn(
+            self._run_item,
+            ItemRun(item, route, need, target),
+        )
 
     def _find_route(self) -> Route | None:
         configuration = self.parts.directory.configuration
         submission = self.submission
         return configuration.find_route(submission.host, submission.path)
 
-    async def _run_item(
-        self,
-        item: Item,
-        route: Route,
-        target: FleetTarget,
-    ) -> None:
+    async def _run_item(self, run: ItemRun) -> None:
         try:
-            generation = await self._generate(item, route, target)
+            generation = await self._generate(run)
             if generation is not None:
-                await self._finish(item, generation)
+                await self._finish(run.item, generation)
         finally:
             self.active -= 1
 
-    async def _generate(
-        self,
-        item: Item,
-        route: Route,
-        target: FleetTarget,
-    ) -> Generation | None:
+    async def _generate(self, run: ItemRun) -> Generation | None:
         """Return the whole generation, or None if there is none yet."""
+        item = run.item
         generation = self.generations.setdefault(item.id, Generation(item))
         generator = Generator(
             self.parts.clock,
             self.parts.sender,
             self.submission,
-            route.single_version,
+            run.route.single_version,
+            lambda engine: self.parts.placer.finds_faster(run.need, engine),
         )
         try:
-            await generator.run(generation, target)
+            await generator.run(generation, run.target)
         except ShedError as failure:
-            await self._retry(item, target, failure)
-            return None
-        except RunFailedError:
-            self._count_failure(item, route)
-            return None
-        except ImpossibleItemError:
-            self._bury(item, 'impossible')
-            return None
+            await self._retry(item, run.target, failure)
+        except RunEndedError as ended:
+            self._take_end(run, ended.end)
         finally:
-            self.parts.placer.release(target)
-        return generation
+            self.parts.placer.release(run.target)
+        return generation if generation.done else None
+
+    def _take_end(self, run: ItemRun, end: RunEnd) -> None:
+        log.write(
+            'run ended',
+            request_id=run.item.id,
+            target=run.target.name,
+            reason=end.value,
+        )
+        if end is RunEnd.MOVED:
+            self.queue.put_back(run.item)
+        elif end is RunEnd.FAILED:
+            self._count_failure(run.item, run.route)
+        else:
+            self._bury(run.item, end.value)
 
     async def _finish(self, item: Item, generation: Generation) -> None:
         score = ''
@@ -182,6 +196,7 @@
                 self._bury(item, str(failure))
                 return
         self.generations.pop(item.id, None)
+        self._log_done(generation)
         self.recorder.add(
             ItemResult(
                 item.id,
@@ -192,6 +207,23 @@
             ),
         )
 
+    def _log_done(self, generation: Generation) -> None:
+        now = self.parts.clock.elapsed()
+        started = generation.started or now
+        moved = generation.moved or now
+        log.write(
+            'item done',
+            request_id=generation.item.id,
+            submission=self.submission.id,
+            waited=(started - self.created).total_seconds(),
+            generated=(moved - started).total_seconds(),
+            rewarded=(now - moved).total_seconds(),
+            events=len(generation.texts),
+            expected_tokens=generation.item.expected_tokens,
+            longest_gap=generation.longest_gap.total_seconds(),
+            versions=sorted(generation.versions),
+        )
+
     async def _retry(
         self,
         item: Item,
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -114,6 +114,7 @@
         answer = await call.send(head, outgoing.body)
         read = self.dialect.read_labels(answer)
         if read.not_run:
+            await call.read_body()  # keeps the connection usable
             raise ShedError(
                 Code.MISPLACED
                 if answer.status == GONE_STATUS
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -6,22 +6,16 @@
 import curio
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
-from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.errors import ShedError
 from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.routing import Service
-from sequoia_wire.clients import Patience
 from sequoia_wire.codecs import encode
 from sequoia_wire.logs import Log
-from sequoia_wire.messages import Answer, read_address
 
-from sequoia_rollouts.dialects import (
-    EngineReport,
-    PreparedCall,
-    VersionOrder,
-)
 from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.orders import EngineOrderer, OrderPermit, Wanted
 from sequoia_rollouts.owners import OwnedDuty, OwnershipBoard
-from sequoia_rollouts.senders import CONNECT_PATIENCE, Sender
+from sequoia_rollouts.senders import Sender
 from sequoia_rollouts.stores import (
     ABSENT,
     Committer,
@@ -34,27 +28,20 @@
 
 LOOK_PERIOD = timedelta(milliseconds=50)
 COMMIT_PATIENCE = timedelta(milliseconds=600)
-CALL_PATIENCE = timedelta(milliseconds=700)
-LOAD_TIME = timedelta(milliseconds=900)  # before the first look at a load
-LOAD_LOOK = timedelta(milliseconds=250)  # between later looks
-ORDER_LIMIT = timedelta(seconds=8)  # after which an order is given up
+START_DELAY = timedelta(milliseconds=300)  # lets a waiting step start first
 RETRY_PAUSE = timedelta(milliseconds=300)
 HANDOVER_MARGIN = timedelta(milliseconds=300)  # beyond the lease of orders
 LOADING_SHARE = 0.4  # engines that load at a time
-OK = 200
-ACCEPTED = 202
-CONFLICT = 409
-FENCED = 412
 
 log = Log('weights')
 
 
 @frozen
-class Wanted:
-    """A version that an engine should move to."""
+class SeenVersion:
+    """A named version and when this host first saw it."""
 
-    model: str
     version: int
+    since: timedelta
 
 
 @define(eq=False)
@@ -64,18 +51,20 @@
     Attributes:
         order_lease: Shortest time between orders of two hosts.
         may_order_from: When this host may give its first order.
+        named: When each version of a model was first seen.
         ordering: Names of the engines with an order under way.
     """
 
     clock: Clock
     directory: Directory
-    sender: Sender
     board: OwnershipBoard
     committer: Committer
+    orderer: EngineOrderer
     service: Service
     order_lease: timedelta
     may_order_from: timedelta = timedelta()
     ordering: set[str] = field(factory=set)
+    named: dict[str, SeenVersion] = field(factory=dict)
 
     @property
     def duty(self) -> str:
@@ -170,20 +159,39 @@
         free = max(0, most - len(self.ordering))
         now = self.clock.elapsed()
         due = []
-        for target in sorted(engines, key=lambda one: one.running):
+        for target in engines:
             wanted = self._find_wanted(target)
             if wanted and target.is_usable(now):
                 due.append((target, wanted))
+        due.sort(key=rank_order)
         return due[:free]
 
     def _find_wanted(self, target: FleetTarget) -> Wanted | None:
         if target.name in self.ordering:
             return None
+        found = None
         for model in self.service.models:
             version = self.directory.versions.get(model, 0)
-            if target.version_of(model) < version:
-                return Wanted(model, version)
-        return None
+            behind = version - target.version_of(model)
+            if behind <= 0 or not self._is_due(model):
+                continue
+            if found is None or behind > found.behind:
+                found = Wanted(model, version, behind)
+        return found
+
+    def _is_due(self, model: str) -> bool:
+        """Tell whether the loads of a model's newest version may begin.
+
+        An engine that loads starts no runs. The step that a new version
+        lets begin may still use the one before, so it is placed first.
+        """
+        now = self.clock.elapsed()
+        version = self.directory.versions[model]
+        seen = self.named.get(model)
+        if seen is None or seen.version != version:
+            self.named[model] = SeenVersion(version, now)
+            return False
+        return now - seen.since >= START_DELAY
 
     async def _run_order(
         self,
@@ -191,8 +199,14 @@
         wanted: Wanted,
         held: OwnedDuty,
     ) -> None:
+        permit = OrderPermit(
+            self.board.heartbeats.host,
+            held.version,
+            self._may_mix(),
+            lambda: self.may_order(held),
+        )
         try:
-            await self._move(target, wanted, held)
+            await self.orderer.move(target, wanted, permit)
         except ShedError as failure:
             log.write(
                 'order failed',
@@ -206,90 +220,22 @@
         finally:
             self.ordering.discard(target.name)
 
-    async def _move(
-        self,
-        target: FleetTarget,
-        wanted: Wanted,
-        held: OwnedDuty,
-    ) -> None:
-        """Order an engine to a version and wait until it holds it."""
-        report = await self._read_report(target, wanted)
-        if report.version_of(wanted.model) >= wanted.version:
-            return
-        if not report.busy and self.may_order(held):
-            await self._order(target, wanted, held, report)
-        end = self.clock.elapsed() + ORDER_LIMIT
-        await curio.sleep(LOAD_TIME.total_seconds())
-        while self.clock.elapsed() < end:
-            report = await self._read_report(target, wanted)
-            if not report.busy:
-                return
-            await curio.sleep(LOAD_LOOK.total_seconds())
-
-    async def _order(
-        self,
-        target: FleetTarget,
-        wanted: Wanted,
-        held: OwnedDuty,
-        report: EngineReport,
-    ) -> None:
-        order = VersionOrder(
-            target=target.name,
-            model=wanted.model,
-            version=wanted.version,
-            keep_running=self._may_mix(wanted.model),
-            holder=self.board.heartbeats.host,
-            fence=held.version,
-            expected=report.orders,
-        )
-        answer = await self._call(
-            target,
-            self.sender.dialect.prepare_order(order),
-        )
-        log.write(
-            'order given',
-            target=target.name,
-            model=wanted.model,
-            version=wanted.version,
-            fence=held.version,
-            expected=report.orders,
-            status=answer.status,
-        )
-        if answer.status not in {OK, ACCEPTED}:
-            raise ShedError(Code.TARGET_REFUSED, f'status {answer.status}')
-
-    def _may_mix(self, model: str) -> bool:
-        """Tell whether texts of a model may come from several versions."""
+    def _may_mix(self) -> bool:
+        """Tell whether a text may come from several versions."""
         return not any(
             route.single_version
             for route in self.directory.configuration.routes
             if any(share.service == self.service.name for share in route.shares)
         )
 
-    async def _read_report(
-        self,
-        target: FleetTarget,
-        wanted: Wanted,
-    ) -> EngineReport:
-        answer = await self._call(
-            target,
-            self.sender.dialect.prepare_report(target.name),
-        )
-        if answer.status != OK:
-            raise ShedError(Code.TARGET_REFUSED, f'status {answer.status}')
-        report = self.sender.dialect.read_report(answer.body)
-        target.note_version(wanted.model, report.version_of(wanted.model))
-        return report
-
-    async def _call(self, target: FleetTarget, call: PreparedCall) -> Answer:
-        address = read_address(target.registration.address)
-        patience = Patience(CONNECT_PATIENCE, CALL_PATIENCE)
-        return await self.sender.client.fetch(
-            address,
-            call.head,
-            call.body,
-            patience,
-        )
+
+def rank_order(due: tuple[FleetTarget, Wanted]) -> tuple[int, int]:
+    """Return the sort key of an order: farthest behind, then idle first.
+
+    An engine that is two versions behind may not work on any open step.
+    """
+    target, wanted = due
+    return -wanted.behind, target.running
 
 
 @define
@@ -333,9 +279,14 @@
             keeper = WeightKeeper(
                 self.clock,
                 self.directory,
-                self.sender,
                 self.board,
                 self.committer,
+                EngineOrderer(
+                    self.clock,
+                    self.directory,
+                    self.sender,
+                    self.committer.store,
+                ),
                 service,
                 self.order_lease,
             )
