Log typed events without blocking, bounded; serve metrics from them

Cause: lines went to standard output by blocking writes, one eliot call each without a bound; a reader that stops would have stopped the loop. Lines now pass a budget by kind (failures and changes of belief first), wait in a bounded queue and are written only as far as the reader takes them. The modules for shutdown, status and settings are split from hosts.

--- a/packages/rollouts/sequoia_rollouts/desks.py
+++ b/packages/rollouts/sequoia_rollouts/desks.py
@@ -8,7 +8,7 @@
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.submissions import ItemResult, Ownership, Submission
 from sequoia_policy.verdicts import Verdict
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.owners import OwnedSubmission, OwnershipBoard
@@ -43,6 +43,13 @@
 START_PAUSE = timedelta(milliseconds=200)
 
 log = Log('submission')
+SUBMISSION_ACCEPTED = log.event(
+    'submission accepted', 'submission', 'items', 'step', 'owner'
+)
+SUBMISSION_ENDED = log.event('submission ended', 'submission')
+CANNOT_START_YET = log.event(
+    'cannot start yet', 'submission', 'detail', kind=LogKind.FAILURE
+)
 
 
 @frozen
@@ -83,8 +90,7 @@
         if ownership is None:
             return
         await self.board.note(ownership)
-        log.write(
-            'submission accepted',
+        SUBMISSION_ACCEPTED.write(
             submission=submission.id,
             items=len(submission.items),
             step=submission.step,
@@ -174,8 +180,7 @@
             submission = await self._read_submission(submission_id)
             page = await read_all(self.store, results_range(submission_id))
         except ShedError as failure:
-            log.write(
-                'cannot start yet',
+            CANNOT_START_YET.write(
                 submission=submission_id,
                 detail=failure.detail,
             )
@@ -300,7 +305,7 @@
             return self.board.submissions[owned.id]
         changed = OwnedSubmission(owned.id, ended, version)
         await self.board.note(changed)
-        log.write('submission ended', submission=owned.id)
+        SUBMISSION_ENDED.write(submission=owned.id)
         return changed
 
 
--- a/packages/rollouts/sequoia_rollouts/directories.py
+++ b/packages/rollouts/sequoia_rollouts/directories.py
@@ -19,6 +19,14 @@
 TROUBLE_SPAN = timedelta(seconds=3)  # after which removals are believed
 
 log = Log('directory')
+ENGINE_NOTE = log.event('engine note', 'target', 'model', 'version', 'loading')
+CONFIGURATION_IN_FORCE = log.event(
+    'configuration in force', 'version', 'before', 'routes'
+)
+VERSION_NAMED = log.event('version named', 'model', 'version')
+TARGETS_LISTED = log.event('targets listed', 'count')
+TARGET_GONE = log.event('target gone', 'target')
+TARGET_REGISTERED = log.event('target registered', 'target', 'leaving')
 
 
 @frozen
@@ -93,19 +101,12 @@
             return False
         return self.configuration.version > 0
 
-    def config_age(self) -> timedelta | None:
-        """Return the time since the configuration was last confirmed."""
-        if self.operators.in_touch is None:
-            return None
-        return self.clock.elapsed() - self.operators.in_touch
-
     def take_note(self, name: str, note: EngineNote) -> None:
         """Take what the host that orders an engine says of it."""
         target = self.fleet.targets.get(name)
         if target is None:
             return
-        log.write(
-            'engine note',
+        ENGINE_NOTE.write(
             target=name,
             model=note.model,
             version=note.version,
@@ -135,10 +136,11 @@
     def _take_configuration(self, content: Configuration) -> None:
         if content.version <= self.configuration.version:
             return
+        before = self.configuration.version
         self.configuration = content
-        log.write(
-            'configuration in force',
+        CONFIGURATION_IN_FORCE.write(
             version=content.version,
+            before=before,
             routes=len(content.routes),
         )
 
@@ -147,14 +149,14 @@
         if named.version <= known:
             return
         self.versions[named.model] = named.version
-        log.write('version named', model=named.model, version=named.version)
+        VERSION_NAMED.write(model=named.model, version=named.version)
 
     async def _take_targets(self, rows: tuple[Row, ...]) -> None:
         read = [self.reader.read_registration(row) for row in rows if row.body]
         present = [one for one in read if one is not None]
         now = self.clock.elapsed()
         self.fleet.replace_all(present, now, self._find_grace())
-        log.write('targets listed', count=len(present))
+        TARGETS_LISTED.write(count=len(present))
         self._notify()
 
     async def _take_target(self, row: Row) -> None:
@@ -162,11 +164,10 @@
         registration = self.reader.read_registration(row) if row.body else None
         if registration is None:
             self.fleet.remove(row.key.key, now, self._find_grace())
-            log.write('target gone', target=row.key.key)
+            TARGET_GONE.write(target=row.key.key)
         else:
             self.fleet.register(registration)
-            log.write(
-                'target registered',
+            TARGET_REGISTERED.write(
                 target=registration.name,
                 leaving=registration.leaving,
             )
--- a/packages/rollouts/sequoia_rollouts/followers.py
+++ b/packages/rollouts/sequoia_rollouts/followers.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ShedError
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.stores import (
     HistoryLostError,
@@ -22,6 +22,11 @@
 RETRY_PAUSE = timedelta(milliseconds=100)
 
 log = Log('feed')
+STORE_IS_BACK = log.event('store is back', 'table')
+STORE_IS_AWAY = log.event(
+    'store is away', 'table', 'detail', kind=LogKind.FAILURE
+)
+HISTORY_LOST = log.event('history lost', 'table', kind=LogKind.FAILURE)
 
 
 @define
@@ -56,7 +61,7 @@
             try:
                 await self.step()
             except HistoryLostError:
-                log.write('history lost', table=self.table)
+                HISTORY_LOST.write(table=self.table)
                 self.version = None
             except ShedError as failure:
                 self._note_trouble(failure)
@@ -74,9 +79,15 @@
         else:
             await self._follow(self.version)
         if self._is_cut_off():
-            log.write('store is back', table=self.table)
+            STORE_IS_BACK.write(table=self.table)
         self.in_touch = self.clock.elapsed()
 
+    def age(self) -> timedelta | None:
+        """Return the time since the store last confirmed the table."""
+        if self.in_touch is None:
+            return None
+        return self.clock.elapsed() - self.in_touch
+
     def had_trouble(self, span: timedelta) -> bool:
         """Tell whether the store failed within the last ``span``."""
         if self.troubled is None:
@@ -106,5 +117,5 @@
 
     def _note_trouble(self, failure: ShedError) -> None:
         if not self._is_cut_off():
-            log.write('store is away', table=self.table, detail=failure.detail)
+            STORE_IS_AWAY.write(table=self.table, detail=failure.detail)
         self.troubled = self.clock.elapsed()
--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/heartbeats.py
@@ -14,12 +14,13 @@
     PresenceTable,
 )
 from sequoia_wire.codecs import encode
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.stores import RowRange, RowWrite, Store, Transaction
 from sequoia_rollouts.tables import HOSTS, heartbeat_key, read_heartbeat
 
 log = Log('presence')
+HEARTBEAT_MISSED = log.event('heartbeat missed', 'detail', kind=LogKind.FAILURE)
 
 
 @define
@@ -52,6 +53,12 @@
         """Estimate the store's clock."""
         return self.clock.elapsed() + (self.store_ahead or timedelta())
 
+    def lease_age(self) -> timedelta | None:
+        """Return the time since this host last showed that it lives."""
+        if self.renewed is None:
+            return None
+        return self.clock.elapsed() - self.renewed
+
     def holds_lease(self) -> bool:
         """Tell whether no other host can think that this one is dead."""
         if self.renewed is None:
@@ -111,6 +118,6 @@
         try:
             await action()  # type: ignore[operator]
         except ShedError as failure:
-            log.write('heartbeat missed', detail=failure.detail)
+            HEARTBEAT_MISSED.write(detail=failure.detail)
         left = HEARTBEAT_PERIOD - (self.clock.elapsed() - started)
         await curio.sleep(max(0, left.total_seconds()))
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -3,17 +3,14 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from datetime import timedelta
 
 import curio
 from attrs import define, evolve, field, frozen
 from sequoia_policy.clocks import Clock
-from sequoia_policy.errors import ShedError
 from sequoia_wire.clients import HttpClient
 from sequoia_wire.exchanges import Exchange, ServerLimits
-from sequoia_wire.logs import Log
-from sequoia_wire.messages import Address
+from sequoia_wire.logs import OUTPUT, Log, LogKind
 from sequoia_wire.servers import HttpServer
 
 from sequoia_rollouts.desks import SubmissionDesk
@@ -26,40 +23,21 @@
 from sequoia_rollouts.rewards import RewardCaller
 from sequoia_rollouts.runners import RunnerParts
 from sequoia_rollouts.senders import Sender
+from sequoia_rollouts.settings import HostSettings
+from sequoia_rollouts.shutdowns import Shutdown
+from sequoia_rollouts.status import StatusServers
 from sequoia_rollouts.stores import Committer, Store
 from sequoia_rollouts.weights import WeightKeepers
 
-READY = 200
-NOT_READY = 503
-ROTATION_TIME = timedelta(milliseconds=3200)  # until no new caller comes
-FINISH_TIME = timedelta(milliseconds=2500)  # for items under way at a stop
-STOP_MARGIN = timedelta(seconds=1)
+FLUSH_PERIOD = timedelta(milliseconds=100)
 RELOAD_PERIOD = timedelta(seconds=2)
-DRAIN_LOOK = timedelta(milliseconds=50)
 
 log = Log('host')
-
-
-@frozen
-class HostSettings:
-    """What a host must know at its start.
-
-    Attributes:
-        name: Name of the host, the same after a restart.
-        domain: Its failure domain.
-        front: Address for callers.
-        ready: Address that says whether the host takes callers.
-        stop_limit: Time from a stop signal to the end of the process.
-        order_lease: Shortest time between orders of two hosts; zero where
-            engines refuse the orders of an earlier holder.
-    """
-
-    name: str
-    domain: str
-    front: Address
-    ready: Address
-    stop_limit: timedelta
-    order_lease: timedelta
+HOST_STARTED = log.event('host started', 'host', 'owner')
+SETTINGS_CHANGED = log.event('settings changed', 'host')
+SETTINGS_CANNOT_BE_USED = log.event(
+    'settings cannot be used', 'detail', kind=LogKind.FAILURE
+)
 
 
 @frozen
@@ -100,7 +78,7 @@
     desk: SubmissionDesk = field(init=False)
     weights: WeightKeepers = field(init=False)
     front: HttpServer = field(init=False)
-    ready: HttpServer = field(init=False)
+    status: StatusServers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create all parts."""
@@ -153,7 +131,7 @@
             Committer(store, self.clock),
             self.settings.order_lease,
         )
-        self.ready = HttpServer(self.settings.ready, self._answer_ready)
+        self.status = StatusServers(self)
 
     @property
     def is_ready(self) -> bool:
@@ -183,10 +161,8 @@
         self.front = HttpServer(self.settings.front, handler)
         self._take_limits()
         self.front.open()
-        self.ready.open()
         for work in (
             self.front.run,
-            self.ready.run,
             self.directory.operators.run,
             self.directory.targets.run,
             self.heartbeats.run_writer,
@@ -195,14 +171,21 @@
             self.board.run_adoption,
             self.weights.run,
             self.run_reloads,
+            self.run_log_flushes,
         ):
             await group.spawn(work)
-        log.write(
-            'host started',
+        await self.status.start(group)
+        HOST_STARTED.write(
             host=self.settings.name,
             owner=self.heartbeats.owner,
         )
 
+    async def run_log_flushes(self) -> None:
+        """Write log lines that wait for their reader until cancelled."""
+        while True:
+            OUTPUT.flush()
+            await curio.sleep(FLUSH_PERIOD.total_seconds())
+
     async def run_reloads(self) -> None:
         """Follow the settings until cancelled.
 
@@ -219,11 +202,11 @@
         try:
             settings = self.outside.read_settings()
         except ValueError as bad:
-            log.write('settings cannot be used', detail=str(bad))
+            SETTINGS_CANNOT_BE_USED.write(detail=str(bad))
             return
         if settings == self.settings:
             return
-        log.write('settings changed', host=settings.name)
+        SETTINGS_CHANGED.write(host=settings.name)
         self.settings = settings
         self.weights.set_lease(settings.order_lease)
 
@@ -232,41 +215,8 @@
         self.draining = True
         self.front.closing = True
         self.heartbeats.own = evolve(self.heartbeats.own, draining=True)
-        log.write('host drains', host=self.settings.name)
-        limit = self.settings.stop_limit - STOP_MARGIN
-        async with curio.ignore_after(limit.total_seconds()):
-            async with curio.TaskGroup() as group:
-                await group.spawn(self._hand_over)
-                await group.spawn(self._end_calls)
-        log.write('host stopped', host=self.settings.name)
-
-    async def _hand_over(self) -> None:
-        """Finish items under way, then let others take up the rest."""
-        with suppress(ShedError):
-            await self.weights.release()
-        for runner in self.desk.runners.values():
-            runner.draining = True
-        async with curio.ignore_after(FINISH_TIME.total_seconds()):
-            while not self._is_idle():
-                await curio.sleep(DRAIN_LOOK.total_seconds())
-        for name in tuple(self.desk.runners):
-            await self._release(name)
-
-    async def _release(self, name: str) -> None:
-        try:
-            await self.board.release(name)
-        except ShedError as failure:
-            log.write('not handed over', submission=name, detail=str(failure))
-
-    def _is_idle(self) -> bool:
-        return all(runner.is_idle for runner in self.desk.runners.values())
-
-    async def _end_calls(self) -> None:
-        await curio.sleep(ROTATION_TIME.total_seconds())
-        await self.front.drain()
-
-    async def _answer_ready(self, exchange: Exchange) -> None:
-        await exchange.answer(READY if self.is_ready else NOT_READY)
+        shutdown = Shutdown(self.desk, self.board, self.weights, self.front)
+        await shutdown.run(self.settings.stop_limit)
 
     async def _take_ownership(self, owned: OwnedSubmission) -> None:
         await self.desk.take_change(owned)
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -12,7 +12,7 @@
 from sequoia_policy.retries import AttemptFacts, find_retry_refusal
 from sequoia_policy.routing import Route
 from sequoia_policy.verdicts import Verdict, merge_verdicts
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Answer
 
 from sequoia_rollouts.directories import Directory
@@ -27,6 +27,29 @@
 RETRY_SHARE = 0.2  # retries a request
 
 log = Log('live')
+REQUEST_ANSWERED = log.event(
+    'request answered',
+    'request_id',
+    'target',
+    'status',
+    'attempts',
+    'refusals',
+    'seconds',
+    'config_version',
+    kind=LogKind.SUCCESS,
+)
+ATTEMPT_FAILED = log.event(
+    'attempt failed',
+    'request_id',
+    'target',
+    'code',
+    'verdict',
+    'attempts',
+    'refusals',
+    'left',
+    'targets_age',
+    kind=LogKind.FAILURE,
+)
 
 
 @frozen
@@ -56,6 +79,7 @@
         service: Service that the request goes to.
         count: Attempts that may have run.
         refusals: Attempts that did not run.
+        target: Name of the target of the newest attempt.
     """
 
     request: LiveRequest
@@ -64,6 +88,7 @@
     end: timedelta
     count: int = 0
     refusals: int = 0
+    target: str = ''
     verdict: Verdict = Verdict.NOT_RUN
     tried: set[str] = field(factory=set)
 
@@ -135,10 +160,12 @@
         while True:
             answer = await self._try_once(attempts)
             if answer is not None:
+                self._log_answer(attempts, answer)
                 return answer
 
     async def _try_once(self, attempts: LiveAttempts) -> Answer | None:
         target = self._choose(attempts)
+        attempts.target = target.name
         try:
             labelled = await self._send(attempts, target)
         except ShedError as failure:
@@ -271,18 +298,37 @@
             attempts.tried.clear()
             await curio.sleep(REFUSAL_PAUSE.total_seconds())
 
+    def _log_answer(self, attempts: LiveAttempts, answer: Answer) -> None:
+        request = attempts.request
+        took = self.clock.elapsed() - request.arrived
+        REQUEST_ANSWERED.write(
+            request_id=request.outgoing.id,
+            target=attempts.target,
+            status=answer.status,
+            attempts=attempts.count + 1,
+            refusals=attempts.refusals,
+            seconds=took.total_seconds(),
+            config_version=self.directory.configuration.version,
+        )
+
     def _log_failure(
         self,
         attempts: LiveAttempts,
         target: FleetTarget,
         failure: ShedError,
     ) -> None:
-        log.write(
-            'attempt failed',
+        ATTEMPT_FAILED.write(
             request_id=attempts.request.outgoing.id,
             target=target.name,
             code=failure.code.value.label,
             verdict=failure.verdict.value,
             attempts=attempts.count,
             refusals=attempts.refusals,
+            left=(attempts.end - self.clock.elapsed()).total_seconds(),
+            targets_age=seconds_of(self.directory.targets.age()),
         )
+
+
+def seconds_of(age: timedelta | None) -> float | None:
+    """Return an age in seconds, None if it is unknown."""
+    return None if age is None else age.total_seconds()
--- a/packages/rollouts/sequoia_rollouts/orders.py
+++ b/packages/rollouts/sequoia_rollouts/orders.py
@@ -9,7 +9,7 @@
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.fleets import FleetTarget
 from sequoia_wire.clients import Patience
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Answer, read_address
 
 from sequoia_rollouts.dialects import (
@@ -30,6 +30,12 @@
 ACCEPTED = 202
 
 log = Log('weights')
+ORDER_GIVEN = log.event(
+    'order given', 'target', 'model', 'version', 'fence', 'expected', 'status'
+)
+NOTE_NOT_WRITTEN = log.event(
+    'note not written', 'target', 'detail', kind=LogKind.FAILURE
+)
 
 
 @frozen
@@ -123,8 +129,7 @@
         try:
             await self.store.commit(transaction)
         except ShedError as failure:
-            log.write(
-                'note not written',
+            NOTE_NOT_WRITTEN.write(
                 target=target.name,
                 detail=failure.detail,
             )
@@ -149,8 +154,7 @@
             target,
             self.sender.dialect.prepare_order(order),
         )
-        log.write(
-            'order given',
+        ORDER_GIVEN.write(
             target=target.name,
             model=wanted.model,
             version=wanted.version,
--- a/packages/rollouts/sequoia_rollouts/owners.py
+++ b/packages/rollouts/sequoia_rollouts/owners.py
@@ -10,7 +10,7 @@
 from sequoia_policy.errors import ShedError
 from sequoia_policy.presences import ADOPTION_STEP
 from sequoia_policy.submissions import Ownership
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.followers import TableFollower
 from sequoia_rollouts.heartbeats import HeartbeatKeeper
@@ -38,6 +38,13 @@
 COMMIT_PATIENCE = timedelta(milliseconds=1500)
 
 log = Log('owner')
+SUBMISSION_ADOPTED = log.event('submission adopted', 'submission', 'before')
+ROW_CANNOT_BE_READ = log.event(
+    'row cannot be read', 'key', 'detail', kind=LogKind.FAILURE
+)
+NOT_ADOPTED = log.event(
+    'not adopted', 'submission', 'detail', kind=LogKind.FAILURE
+)
 
 
 @frozen
@@ -164,7 +171,7 @@
         try:
             await self._decode_row(row)
         except ShedError as bad:
-            log.write('row cannot be read', key=row.key.key, detail=bad.detail)
+            ROW_CANNOT_BE_READ.write(key=row.key.key, detail=bad.detail)
 
     async def _decode_row(self, row: Row) -> None:
         name = row.key.key
@@ -206,10 +213,9 @@
         try:
             await self._change_owner(owned, self.heartbeats.owner)
         except ShedError as failure:
-            log.write('not adopted', submission=name, detail=failure.detail)
+            NOT_ADOPTED.write(submission=name, detail=failure.detail)
         else:
-            log.write(
-                'submission adopted',
+            SUBMISSION_ADOPTED.write(
                 submission=name,
                 before=owned.ownership.owner,
             )
--- a/packages/rollouts/sequoia_rollouts/recorders.py
+++ b/packages/rollouts/sequoia_rollouts/recorders.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.submissions import ItemResult, Submission
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.stores import (
     ABSENT,
@@ -31,6 +31,9 @@
 LOOK_PERIOD = timedelta(milliseconds=5)
 
 log = Log('results')
+RESULTS_WAIT = log.event(
+    'results wait', 'submission', 'count', 'detail', kind=LogKind.FAILURE
+)
 
 
 @define(eq=False)
@@ -90,8 +93,7 @@
         try:
             await self._write(transaction)
         except ShedError as failure:
-            log.write(
-                'results wait',
+            RESULTS_WAIT.write(
                 submission=self.submission.id,
                 count=len(self.pending),
                 detail=failure.detail,
--- a/packages/rollouts/sequoia_rollouts/rewards.py
+++ b/packages/rollouts/sequoia_rollouts/rewards.py
@@ -11,7 +11,7 @@
 from sequoia_policy.routing import Route
 from sequoia_policy.submissions import RewardCall, WorkQueue
 from sequoia_policy.verdicts import Verdict
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import RequestHead, encode_headers
 
 from sequoia_rollouts.directories import Directory
@@ -25,6 +25,16 @@
 SHORTEST_ATTEMPT = timedelta(milliseconds=500)
 
 log = Log('reward')
+REWARD_REFUSED = log.event(
+    'reward refused', 'request_id', 'status', kind=LogKind.FAILURE
+)
+REWARD_ATTEMPT_FAILED = log.event(
+    'reward attempt failed',
+    'request_id',
+    'target',
+    'code',
+    kind=LogKind.FAILURE,
+)
 
 
 class NoRewardError(Exception):
@@ -112,7 +122,7 @@
         queue: WorkQueue,
         status: int,
     ) -> None:
-        log.write('reward refused', request_id=call.id, status=status)
+        REWARD_REFUSED.write(request_id=call.id, status=status)
         if status != FAILED:
             return
         if queue.count_failure(call.id) >= route.max_attempts:
@@ -131,8 +141,7 @@
             target.pause(now, RETRY_PAUSE)
         else:
             target.record_failure(now)
-        log.write(
-            'reward attempt failed',
+        REWARD_ATTEMPT_FAILED.write(
             request_id=call.id,
             target=target.name,
             code=failure.code.value.label,
--- a/packages/rollouts/sequoia_rollouts/runners.py
+++ b/packages/rollouts/sequoia_rollouts/runners.py
@@ -16,7 +16,7 @@
     WorkQueue,
 )
 from sequoia_policy.verdicts import Verdict
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.generations import (
@@ -25,6 +25,7 @@
     RunEnd,
     RunEndedError,
 )
+from sequoia_rollouts.live import seconds_of
 from sequoia_rollouts.placers import EngineNeed, Placer
 from sequoia_rollouts.recorders import Recorder
 from sequoia_rollouts.rewards import NoRewardError, RewardCaller
@@ -35,6 +36,50 @@
 AGE_MARGIN = timedelta(seconds=1)
 
 log = Log('runner')
+SUBMISSION_WHOLE = log.event(
+    'submission whole', 'submission', kind=LogKind.SUCCESS
+)
+ITEM_SENT = log.event(
+    'item sent',
+    'request_id',
+    'submission',
+    'target',
+    'target_running',
+    'target_version',
+    'min_version',
+    'events_before',
+    kind=LogKind.SUCCESS,
+)
+RUN_ENDED = log.event(
+    'run ended', 'request_id', 'submission', 'target', 'reason', 'events'
+)
+ITEM_DONE = log.event(
+    'item done',
+    'request_id',
+    'submission',
+    'waited',
+    'generated',
+    'rewarded',
+    'events',
+    'expected_tokens',
+    'longest_gap',
+    'versions',
+    kind=LogKind.SUCCESS,
+)
+RUN_BROKE_OFF = log.event(
+    'run broke off',
+    'request_id',
+    'submission',
+    'target',
+    'code',
+    'detail',
+    'events',
+    'targets_age',
+    kind=LogKind.FAILURE,
+)
+ITEM_DEAD = log.event(
+    'item dead', 'request_id', 'submission', 'reason', kind=LogKind.FAILURE
+)
 
 
 @frozen
@@ -115,7 +160,7 @@
                 await curio.sleep(IDLE_LOOK.total_seconds())
             else:
                 await self._dispatch(group, item)
-        log.write('submission whole', submission=self.submission.id)
+        SUBMISSION_WHOLE.write(submission=self.submission.id)
 
     async def _dispatch(self, group: curio.TaskGroup, item: Item) -> None:
         route = self._find_route()
@@ -156,6 +201,15 @@
         """Return the whole generation, or None if there is none yet."""
         item = run.item
         generation = self.generations.setdefault(item.id, Generation(item))
+        ITEM_SENT.write(
+            request_id=item.id,
+            submission=self.submission.id,
+            target=run.target.name,
+            target_running=run.target.running,
+            target_version=run.target.version_of(self.submission.model),
+            min_version=self.submission.min_version,
+            events_before=len(generation.texts),
+        )
         generator = Generator(
             self.parts.clock,
             self.parts.sender,
@@ -174,11 +228,12 @@
         return generation if generation.done else None
 
     def _take_end(self, run: ItemRun, end: RunEnd) -> None:
-        log.write(
-            'run ended',
+        RUN_ENDED.write(
             request_id=run.item.id,
+            submission=self.submission.id,
             target=run.target.name,
             reason=end.value,
+            events=self._count_events(run.item),
         )
         if end is RunEnd.MOVED:
             self.queue.put_back(run.item)
@@ -211,8 +266,7 @@
         now = self.parts.clock.elapsed()
         started = generation.started or now
         moved = generation.moved or now
-        log.write(
-            'item done',
+        ITEM_DONE.write(
             request_id=generation.item.id,
             submission=self.submission.id,
             waited=(started - self.created).total_seconds(),
@@ -231,12 +285,14 @@
         failure: ShedError,
     ) -> None:
         now = self.parts.clock.elapsed()
-        log.write(
-            'run broke off',
+        RUN_BROKE_OFF.write(
             request_id=item.id,
+            submission=self.submission.id,
             target=target.name,
             code=failure.code.value.label,
             detail=failure.detail,
+            events=self._count_events(item),
+            targets_age=seconds_of(self.parts.directory.targets.age()),
         )
         if failure.code is Code.MISPLACED:
             self.parts.directory.fleet.remove(target.name, now, timedelta())
@@ -248,6 +304,10 @@
             await curio.sleep(IDLE_LOOK.total_seconds())
         self.queue.put_back(item)
 
+    def _count_events(self, item: Item) -> int:
+        generation = self.generations.get(item.id)
+        return len(generation.texts) if generation else 0
+
     def _count_failure(self, item: Item, route: Route) -> None:
         if self.queue.count_failure(item.id) >= route.max_attempts:
             self._bury(item, f'{route.max_attempts} failures')
@@ -255,6 +315,10 @@
             self.queue.put_back(item)
 
     def _bury(self, item: Item, reason: str) -> None:
-        log.write('item dead', request_id=item.id, reason=reason)
+        ITEM_DEAD.write(
+            request_id=item.id,
+            submission=self.submission.id,
+            reason=reason,
+        )
         self.generations.pop(item.id, None)
         self.recorder.add(ItemResult(item.id, ItemState.DEAD))
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/shutdowns.py
@@ -0,0 +1,75 @@
+"""Ends a host without cutting off what is in flight."""
+
+from contextlib import suppress
+from datetime import timedelta
+
+import curio
+from attrs import define
+from sequoia_policy.errors import ShedError
+from sequoia_wire.logs import Log, LogKind
+from sequoia_wire.servers import HttpServer
+
+from sequoia_rollouts.desks import SubmissionDesk
+from sequoia_rollouts.owners import OwnershipBoard
+from sequoia_rollouts.weights import WeightKeepers
+
+ROTATION_TIME = timedelta(milliseconds=3200)  # until no new caller comes
+FINISH_TIME = timedelta(milliseconds=2500)  # for items under way at a stop
+STOP_MARGIN = timedelta(seconds=1)
+DRAIN_LOOK = timedelta(milliseconds=50)
+
+log = Log('host')
+HOST_DRAINS = log.event('host drains', 'host')
+HOST_STOPPED = log.event('host stopped', 'host')
+NOT_HANDED_OVER = log.event(
+    'not handed over', 'submission', 'detail', kind=LogKind.FAILURE
+)
+
+
+@define
+class Shutdown:
+    """One shutdown of a host that already says that it is not ready."""
+
+    desk: SubmissionDesk
+    board: OwnershipBoard
+    weights: WeightKeepers
+    front: HttpServer
+
+    async def run(self, stop_limit: timedelta) -> None:
+        """Return when all is ended or handed over, or time is up.
+
+        Args:
+            stop_limit: Time after which the process is killed.
+        """
+        HOST_DRAINS.write(host=self.board.heartbeats.host)
+        limit = stop_limit - STOP_MARGIN
+        async with curio.ignore_after(limit.total_seconds()):
+            async with curio.TaskGroup() as group:
+                await group.spawn(self._hand_over)
+                await group.spawn(self._end_calls)
+        HOST_STOPPED.write(host=self.board.heartbeats.host)
+
+    async def _hand_over(self) -> None:
+        """Finish items under way, then let others take up the rest."""
+        with suppress(ShedError):
+            await self.weights.release()
+        for runner in self.desk.runners.values():
+            runner.draining = True
+        async with curio.ignore_after(FINISH_TIME.total_seconds()):
+            while not self._is_idle():
+                await curio.sleep(DRAIN_LOOK.total_seconds())
+        for name in tuple(self.desk.runners):
+            await self._release(name)
+
+    async def _release(self, name: str) -> None:
+        try:
+            await self.board.release(name)
+        except ShedError as failure:
+            NOT_HANDED_OVER.write(submission=name, detail=str(failure))
+
+    def _is_idle(self) -> bool:
+        return all(runner.is_idle for runner in self.desk.runners.values())
+
+    async def _end_calls(self) -> None:
+        await curio.sleep(ROTATION_TIME.total_seconds())
+        await self.front.drain()
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/status.py
@@ -0,0 +1,87 @@
+"""Says whether a host takes callers, and serves its metrics."""
+
+from typing import Protocol
+
+import curio
+from attrs import define, field
+from sequoia_wire.exchanges import Exchange
+from sequoia_wire.logs import Log, LogKind
+from sequoia_wire.messages import Address
+from sequoia_wire.servers import HttpServer
+
+from sequoia_rollouts.desks import SubmissionDesk
+from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.heartbeats import HeartbeatKeeper
+from sequoia_rollouts.metrics import Metrics
+from sequoia_rollouts.owners import OwnershipBoard
+from sequoia_rollouts.settings import HostSettings
+
+OK = 200
+READY = 200
+NOT_READY = 503
+
+log = Log('host')
+NO_METRICS = log.event(
+    'no metrics served', 'address', 'detail', kind=LogKind.FAILURE
+)
+
+
+class ShownHost(Protocol):
+    """What is shown of a host."""
+
+    settings: HostSettings
+    directory: Directory
+    heartbeats: HeartbeatKeeper
+    board: OwnershipBoard
+    desk: SubmissionDesk
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should come to this host."""
+
+
+@define
+class StatusServers:
+    """Servers for the platform's and the operators' questions."""
+
+    host: ShownHost
+    metrics: Metrics = field(factory=Metrics)
+    ready: HttpServer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the server that says whether the host is ready."""
+        self.ready = HttpServer(self.host.settings.ready, self._answer_ready)
+        self.metrics.follow_events()
+
+    async def start(self, group: curio.TaskGroup) -> None:
+        """Open the addresses and serve them in a group of tasks."""
+        self.ready.open()
+        await group.spawn(self.ready.run)
+        if self.host.settings.metrics:
+            await self._start_metrics(self.host.settings.metrics, group)
+
+    async def _start_metrics(
+        self,
+        address: Address,
+        group: curio.TaskGroup,
+    ) -> None:
+        server = HttpServer(address, self._answer_metrics)
+        try:
+            server.open()
+        except OSError as failure:
+            NO_METRICS.write(address=str(address), detail=str(failure))
+            return
+        await group.spawn(server.run)
+
+    async def _answer_metrics(self, exchange: Exchange) -> None:
+        self.metrics.set_age(
+            'configuration', self.host.directory.operators.age()
+        )
+        self.metrics.set_age('targets', self.host.directory.targets.age())
+        self.metrics.set_age('ownership', self.host.board.follower.age())
+        self.metrics.set_age('lease', self.host.heartbeats.lease_age())
+        self.metrics.owned.set(len(self.host.desk.runners))
+        await exchange.answer(OK, self.metrics.render())
+
+    async def _answer_ready(self, exchange: Exchange) -> None:
+        await exchange.answer(READY if self.host.is_ready else NOT_READY)
--- a/packages/rollouts/sequoia_rollouts/stores.py
+++ b/packages/rollouts/sequoia_rollouts/stores.py
@@ -8,7 +8,7 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.verdicts import Verdict, merge_verdicts
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 
 ABSENT = 0  # version of a row that does not exist
 FIRST_PAUSE = timedelta(milliseconds=30)
@@ -16,6 +16,9 @@
 RETRY_AFTER = timedelta(milliseconds=500)
 
 log = Log('store')
+COMMIT_WAS_GIVEN_UP = log.event(
+    'commit was given up', 'detail', 'verdict', kind=LogKind.FAILURE
+)
 
 
 @frozen
@@ -214,8 +217,7 @@
 
 def explain_failure(failure: ShedError, verdict: Verdict) -> ShedError:
     """Return the error of a commit that was given up."""
-    log.write(
-        'commit was given up',
+    COMMIT_WAS_GIVEN_UP.write(
         detail=failure.detail,
         verdict=verdict.value,
     )
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -10,7 +10,7 @@
 from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.routing import Service
 from sequoia_wire.codecs import encode
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.orders import EngineOrderer, OrderPermit, Wanted
@@ -34,6 +34,13 @@
 LOADING_SHARE = 0.4  # engines that load at a time
 
 log = Log('weights')
+DUTY_TAKEN = log.event('duty taken', 'duty', 'before')
+DUTY_NOT_TAKEN = log.event(
+    'duty not taken', 'duty', 'detail', kind=LogKind.FAILURE
+)
+ORDER_FAILED = log.event(
+    'order failed', 'target', 'model', 'version', 'detail', kind=LogKind.FAILURE
+)
 
 
 @frozen
@@ -120,7 +127,7 @@
         try:
             await self._take(held)
         except ShedError as failure:
-            log.write('duty not taken', duty=self.duty, detail=failure.detail)
+            DUTY_NOT_TAKEN.write(duty=self.duty, detail=failure.detail)
 
     async def _take(self, held: OwnedDuty | None) -> None:
         owner = self.board.heartbeats.owner
@@ -130,7 +137,7 @@
         self.may_order_from = self.clock.elapsed()
         if held and not self._was_this_host(held.owner):
             self.may_order_from += self.order_lease + HANDOVER_MARGIN
-        log.write('duty taken', duty=self.duty, before=held and held.owner)
+        DUTY_TAKEN.write(duty=self.duty, before=held and held.owner)
 
     def _was_this_host(self, owner: str) -> bool:
         host = self.board.heartbeats.host
@@ -208,8 +215,7 @@
         try:
             await self.orderer.move(target, wanted, permit)
         except ShedError as failure:
-            log.write(
-                'order failed',
+            ORDER_FAILED.write(
                 target=target.name,
                 model=wanted.model,
                 version=wanted.version,
--- a/tests/platform_adapter/sites.py
+++ b/tests/platform_adapter/sites.py
@@ -18,7 +18,8 @@
 from sequoia_platform.entries import PlatformReader
 from sequoia_platform.ingress import Ingress
 from sequoia_platform.stores import PlatformStore
-from sequoia_rollouts.hosts import HostSettings, Outside, RolloutHost
+from sequoia_rollouts.hosts import Outside, RolloutHost
+from sequoia_rollouts.settings import HostSettings
 from sequoia_wire.clients import HttpClient, Patience
 from sequoia_wire.clocks import SystemClock
 from sequoia_wire.messages import Address, RequestHead, encode_headers
@@ -159,7 +160,7 @@
         for connection in tuple(host.front.connections):
             await connection.task.cancel()
         await host.front.listener.close()
-        await host.ready.listener.close()
+        await host.status.ready.listener.close()
         self.hosts.remove(host)
 
     async def call(self, host, method, path, body=b'', **headers):
