Say not ready when cut off; refuse at once what no target can take

Ruled out: the targets (their runs ended 200 at other hosts). Hosts now ask a few peers of each failure domain by datagram whether they reach the store; one that is cut off says not ready, so that callers go to other domains. A store that is away for all leaves all ready. Where no target can be reached a request is refused at once with the time of the next try.

--- a/packages/policy/sequoia_policy/fleets.py
+++ b/packages/policy/sequoia_policy/fleets.py
@@ -59,6 +59,7 @@
         running: Own requests under way.
         seconds: Smoothed duration of a unit of work.
         measured: When ``seconds`` was last updated.
+        unreachable: Whether the last try found nobody at its address.
         lapsed: When its registration went; None while it is registered.
         newest: Versions seen in answers or reports, by model.
         loading: Until when the engine takes no new run, by model.
@@ -70,6 +71,7 @@
     measured: timedelta = timedelta()
     failures: int = 0
     paused_until: timedelta = timedelta()
+    unreachable: bool = False
     lapsed: timedelta | None = None
     newest: dict[str, int] = field(factory=dict)
     loading: dict[str, timedelta] = field(factory=dict)
@@ -108,6 +110,7 @@
     def record_duration(self, seconds: float, now: timedelta) -> None:
         """Learn how long a unit of work takes."""
         self.failures = 0
+        self.unreachable = False
         self.paused_until = min(self.paused_until, now)
         known = self.known_seconds(now)
         if known is None:
--- a/packages/policy/sequoia_policy/presences.py
+++ b/packages/policy/sequoia_policy/presences.py
@@ -22,12 +22,16 @@
         boot: Differs with each start of the host's process.
         count: Grows with each heartbeat.
         draining: Whether the host is about to stop.
+        domain: Failure domain of the host.
+        address: Where other hosts reach it; empty if nowhere.
     """
 
     host: str
     boot: str
     count: int
     draining: bool = False
+    domain: str = ''
+    address: str = ''
 
     @property
     def owner(self) -> str:
--- a/packages/rollouts/sequoia_rollouts/generations.py
+++ b/packages/rollouts/sequoia_rollouts/generations.py
@@ -18,7 +18,10 @@
 from sequoia_rollouts.senders import CONNECT_PATIENCE, Outgoing, Sender
 
 EVENTS_BEFORE_MOVE = 4  # over which the pace of a run is measured
-GAP_PATIENCE = timedelta(seconds=3)  # longest silence of an engine
+FIRST_PATIENCE = timedelta(seconds=3)  # for the first event
+USUAL_GAP_PATIENCE = timedelta(milliseconds=2400)  # if no pace is known
+SHORTEST_GAP_PATIENCE = timedelta(milliseconds=1200)
+PACES_PER_GAP = 10  # usual times between events that one gap may last
 OK = 200
 FAILED = 500
 IMPOSSIBLE = 422
@@ -113,9 +116,13 @@
         """
         generation.started = generation.started or self.clock.elapsed()
         call = self.sender.open(target)
-        call.patience = Patience(CONNECT_PATIENCE, GAP_PATIENCE)
+        call.patience = Patience(CONNECT_PATIENCE, FIRST_PATIENCE)
         async with call:
             await self._start(call, generation, target)
+            call.patience = Patience(
+                CONNECT_PATIENCE,
+                self._find_gap_patience(target),
+            )
             await self._read_stream(call, generation, target)
 
     async def _start(
@@ -137,6 +144,16 @@
         if version is not None:
             self._take_version(generation, target, version)
 
+    def _find_gap_patience(self, target: FleetTarget) -> timedelta:
+        """Return how long an engine may be silent between two events."""
+        pace = target.known_seconds(self.clock.elapsed())
+        if pace is None:
+            return USUAL_GAP_PATIENCE
+        return max(
+            SHORTEST_GAP_PATIENCE,
+            timedelta(seconds=pace * PACES_PER_GAP),
+        )
+
     async def _refuse(self, call: Call, head: AnswerHead) -> None:
         """Raise what an answer without a stream means."""
         await call.read_body()
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -19,6 +19,7 @@
 from sequoia_rollouts.heartbeats import HeartbeatKeeper
 from sequoia_rollouts.live import LivePath
 from sequoia_rollouts.owners import OwnedSubmission, OwnershipBoard
+from sequoia_rollouts.peers import PeerWatch
 from sequoia_rollouts.placers import Placer
 from sequoia_rollouts.rewards import RewardCaller
 from sequoia_rollouts.runners import RunnerParts
@@ -78,6 +79,7 @@
     desk: SubmissionDesk = field(init=False)
     weights: WeightKeepers = field(init=False)
     front: HttpServer = field(init=False)
+    peers: PeerWatch = field(init=False)
     status: StatusServers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -131,12 +133,21 @@
             Committer(store, self.clock),
             self.settings.order_lease,
         )
+        self.peers = PeerWatch(
+            self.clock,
+            self.heartbeats,
+            self.settings.domain,
+            self.settings.peer,
+            self.directory.operators.age,
+        )
         self.status = StatusServers(self)
 
     @property
     def is_ready(self) -> bool:
         """Whether callers should come to this host."""
-        return not self.draining and self.directory.is_known
+        if self.draining or self.peers.is_cut_off:
+            return False
+        return self.directory.is_known
 
     async def run(self, handler: Callable[[Exchange], Awaitable[None]]) -> None:
         """Serve until a signal says stop.
@@ -161,6 +172,12 @@
         self.front = HttpServer(self.settings.front, handler)
         self._take_limits()
         self.front.open()
+        self.peers.open()
+        self.heartbeats.own = evolve(
+            self.heartbeats.own,
+            domain=self.settings.domain,
+            address=str(self.peers.address),
+        )
         for work in (
             self.front.run,
             self.directory.operators.run,
@@ -170,6 +187,8 @@
             self.board.follower.run,
             self.board.run_adoption,
             self.weights.run,
+            self.peers.run_sender,
+            self.peers.run_receiver,
             self.run_reloads,
             self.run_log_flushes,
         ):
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -183,20 +183,34 @@
         if not usable:
             usable = self._find_paused(attempts.service)
         if not usable:
-            raise ShedError(
-                Code.NO_TARGET,
-                attempts.service,
-                verdict=attempts.verdict,
-                retry_after=RETRY_AFTER,
-            )
+            raise self._refuse(attempts, now)
         fresh = [one for one in usable if one.name not in attempts.tried]
         near = keep_near(fresh or usable, self.domain, now)
         return choose_of_two(near, now, self.chance)
 
     def _find_paused(self, service: str) -> list[FleetTarget]:
-        """Return the targets that failed last, better than none."""
+        """Return the targets that failed but can be reached."""
         found = self.directory.fleet.find(service)
-        return [one for one in found if not one.registration.leaving]
+        return [
+            one
+            for one in found
+            if not one.registration.leaving and not one.unreachable
+        ]
+
+    def _refuse(self, attempts: LiveAttempts, now: timedelta) -> ShedError:
+        """Return the refusal when no target can be reached.
+
+        The caller may come back when the first target is tried again.
+        """
+        found = self.directory.fleet.find(attempts.service)
+        pauses = [one.paused_until - now for one in found]
+        soonest = min(pauses, default=RETRY_AFTER)
+        return ShedError(
+            Code.NO_TARGET,
+            attempts.service,
+            verdict=attempts.verdict,
+            retry_after=max(RETRY_AFTER, soonest),
+        )
 
     async def _send(
         self,
@@ -258,6 +272,7 @@
             self.directory.fleet.remove(target.name, now, timedelta())
         elif failure.code is not Code.TARGET_REFUSED:
             target.record_failure(now)
+            target.unreachable = failure.code is Code.CONNECT_FAILED
 
     def _check_retry(self, attempts: LiveAttempts, failure: ShedError) -> None:
         """Raise the failure unless the request may be tried again."""
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/peers.py
@@ -0,0 +1,159 @@
+"""Asks some other hosts whether they reach the store, by datagrams."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import curio
+from attrs import define, field, frozen
+from sequoia_policy.choices import rank_names
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import ShedError
+from sequoia_policy.presences import Heartbeat
+from sequoia_policy.reachability import PeerState, Reachability
+from sequoia_wire.codecs import decode, encode
+from sequoia_wire.logs import Log, LogKind
+from sequoia_wire.messages import Address, read_address
+
+from sequoia_rollouts.heartbeats import HeartbeatKeeper
+
+ASK_PERIOD = timedelta(milliseconds=400)
+PEERS_PER_DOMAIN = 3
+DATAGRAM_BYTES = 1400
+
+log = Log('peers')
+CUT_OFF = log.event(
+    'cut off',
+    'store_age',
+    'peers_heard',
+    kind=LogKind.FAILURE,
+)
+REACHABLE = log.event('reachable again', 'store_age')
+BAD_DATAGRAM = log.event('datagram left out', 'detail', kind=LogKind.FAILURE)
+
+
+@frozen
+class PeerMessage:
+    """A question, or the answer to one.
+
+    Attributes:
+        is_question: Whether the receiver should answer.
+    """
+
+    state: PeerState
+    is_question: bool
+
+
+@define(eq=False)
+class PeerWatch:
+    """Asks a few hosts of each failure domain, and answers theirs.
+
+    Attributes:
+        store_age: Returns the time since the store answered this host.
+        was_cut_off: Whether the last look found this host cut off.
+    """
+
+    clock: Clock
+    heartbeats: HeartbeatKeeper
+    domain: str
+    address: Address
+    store_age: Callable[[], timedelta | None]
+    reachability: Reachability = field(init=False)
+    sock: curio.io.Socket | None = None
+    was_cut_off: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Start with no peer."""
+        self.reachability = Reachability(self.domain)
+
+    def open(self) -> None:
+        """Bind the address.
+
+        Raises:
+            OSError: If it cannot be bound.
+        """
+        self.sock = curio.socket.socket(
+            curio.socket.AF_INET,
+            curio.socket.SOCK_DGRAM,
+        )
+        self.sock.bind((self.address.host, self.address.port))
+        host, port = self.sock.getsockname()
+        self.address = Address(host, port)
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether other hosts serve callers better than this one."""
+        return self.reachability.is_cut_off(
+            self.clock.elapsed(),
+            self.store_age(),
+        )
+
+    async def run_sender(self) -> None:
+        """Ask peers until cancelled."""
+        while True:
+            await self._ask()
+            self._note_change()
+            await curio.sleep(ASK_PERIOD.total_seconds())
+
+    async def run_receiver(self) -> None:
+        """Answer peers and take their answers until cancelled."""
+        assert self.sock
+        while True:
+            try:
+                received, sender = await self.sock.recvfrom(DATAGRAM_BYTES)
+            except OSError as failure:
+                BAD_DATAGRAM.write(detail=str(failure))
+            else:
+                await self._take(received, Address(*sender))
+
+    def choose_peers(self) -> list[Heartbeat]:
+        """Return the hosts to ask: a few of each failure domain."""
+        sightings = self.heartbeats.presences.sightings.values()
+        by_domain: dict[str, dict[str, Heartbeat]] = {}
+        for sighting in sightings:
+            peer = sighting.heartbeat
+            if peer.host != self.heartbeats.host and peer.address:
+                by_domain.setdefault(peer.domain, {})[peer.host] = peer
+        chosen: list[Heartbeat] = []
+        for peers in by_domain.values():
+            order = rank_names(self.heartbeats.host, list(peers))
+            chosen.extend(peers[name] for name in order[:PEERS_PER_DOMAIN])
+        return chosen
+
+    async def _ask(self) -> None:
+        peers = self.choose_peers()
+        domains = {peer.domain for peer in peers}
+        self.reachability.note_asked(domains, self.clock.elapsed())
+        for peer in peers:
+            await self._send(read_address(peer.address), is_question=True)
+
+    async def _take(self, received: bytes, sender: Address) -> None:
+        try:
+            message = decode(received, PeerMessage)
+        except ShedError as bad:
+            BAD_DATAGRAM.write(detail=bad.detail)
+            return
+        self.reachability.hear(message.state, self.clock.elapsed())
+        if message.is_question:
+            await self._send(sender, is_question=False)
+
+    async def _send(self, address: Address, *, is_question: bool) -> None:
+        assert self.sock
+        state = PeerState(self.heartbeats.host, self.domain, self.store_age())
+        datagram = encode(PeerMessage(state, is_question))
+        try:
+            await self.sock.sendto(datagram, (address.host, address.port))
+        except OSError as failure:
+            BAD_DATAGRAM.write(detail=str(failure))
+
+    def _note_change(self) -> None:
+        cut_off = self.is_cut_off
+        if cut_off == self.was_cut_off:
+            return
+        self.was_cut_off = cut_off
+        age = self.store_age()
+        seconds = None if age is None else age.total_seconds()
+        if cut_off:
+            heard = len(self.reachability.sightings)
+            CUT_OFF.write(store_age=seconds, peers_heard=heard)
+        else:
+            REACHABLE.write(store_age=seconds)
--- a/packages/rollouts/sequoia_rollouts/settings.py
+++ b/packages/rollouts/sequoia_rollouts/settings.py
@@ -14,6 +14,7 @@
         name: Name of the host, the same after a restart.
         domain: Its failure domain.
         front: Address for callers.
+        peer: Address for other hosts.
         ready: Address that says whether the host takes callers.
         metrics: Address for metrics; None for none.
         stop_limit: Time from a stop signal to the end of the process.
@@ -25,6 +26,7 @@
     domain: str
     front: Address
     ready: Address
+    peer: Address
     stop_limit: timedelta
     order_lease: timedelta
     metrics: Address | None = None
--- a/tests/platform_adapter/sites.py
+++ b/tests/platform_adapter/sites.py
@@ -132,6 +132,7 @@
             'z1',
             ANY,
             ANY,
+            ANY,
             timedelta(seconds=8),
             timedelta(milliseconds=300),
         )
