Remove old rows, keep loops running, split runs of items from runners

Ended submissions, heartbeats of hosts long gone and their rows stayed for ever; one host, first in rendezvous order, now removes them 180 s after acceptance. An unexpected error ended a loop or an item silently: loops start again and items are queued again, with a line each. A run now takes its slot when it starts: one cancelled before its start kept the slot for good.

--- a/packages/policy/sequoia_policy/presences.py
+++ b/packages/policy/sequoia_policy/presences.py
@@ -103,6 +103,10 @@
             and now - sighting.since <= DEAD_AFTER
         ]
 
+    def forget(self, host: str) -> None:
+        """Forget a host."""
+        self.sightings.pop(host, None)
+
     def long_gone(self, now: timedelta) -> list[str]:
         """Return the hosts whose heartbeats can be removed."""
         return [
--- a/packages/rollouts/sequoia_rollouts/desks.py
+++ b/packages/rollouts/sequoia_rollouts/desks.py
@@ -11,9 +11,10 @@
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.item_runs import RunnerParts
 from sequoia_rollouts.owners import OwnedSubmission, OwnershipBoard
 from sequoia_rollouts.recorders import Recorder
-from sequoia_rollouts.runners import RunnerParts, SubmissionRunner
+from sequoia_rollouts.runners import SubmissionRunner
 from sequoia_rollouts.stores import (
     ABSENT,
     Committer,
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -17,17 +17,19 @@
 from sequoia_rollouts.dialects import TargetDialect
 from sequoia_rollouts.directories import Directory, DirectoryReader
 from sequoia_rollouts.heartbeats import HeartbeatKeeper
+from sequoia_rollouts.item_runs import RunnerParts
 from sequoia_rollouts.live import LivePath
 from sequoia_rollouts.owners import OwnedSubmission, OwnershipBoard
+from sequoia_rollouts.parts import keep_running
 from sequoia_rollouts.peers import PeerWatch
 from sequoia_rollouts.placers import Placer
 from sequoia_rollouts.rewards import RewardCaller
-from sequoia_rollouts.runners import RunnerParts
 from sequoia_rollouts.senders import Sender
 from sequoia_rollouts.settings import HostSettings
 from sequoia_rollouts.shutdowns import Shutdown
 from sequoia_rollouts.status import StatusServers
 from sequoia_rollouts.stores import Committer, Store
+from sequoia_rollouts.sweepers import Sweeper
 from sequoia_rollouts.weights import WeightKeepers
 
 FLUSH_PERIOD = timedelta(milliseconds=100)
@@ -79,6 +81,7 @@
     desk: SubmissionDesk = field(init=False)
     weights: WeightKeepers = field(init=False)
     front: HttpServer = field(init=False)
+    sweeper: Sweeper = field(init=False)
     peers: PeerWatch = field(init=False)
     status: StatusServers = field(init=False)
 
@@ -133,6 +136,7 @@
             Committer(store, self.clock),
             self.settings.order_lease,
         )
+        self.sweeper = Sweeper(store, self.clock, self.board)
         self.peers = PeerWatch(
             self.clock,
             self.heartbeats,
@@ -187,12 +191,13 @@
             self.board.follower.run,
             self.board.run_adoption,
             self.weights.run,
+            self.sweeper.run,
             self.peers.run_sender,
             self.peers.run_receiver,
             self.run_reloads,
             self.run_log_flushes,
         ):
-            await group.spawn(work)
+            await group.spawn(keep_running, work)
         await self.status.start(group)
         HOST_STARTED.write(
             host=self.settings.name,
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -0,0 +1,270 @@
+"""Runs one item at one engine and scores its text."""
+
+from datetime import timedelta
+
+import curio
+from attrs import define, field, frozen
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.fleets import FleetTarget
+from sequoia_policy.routing import Route
+from sequoia_policy.submissions import (
+    Item,
+    ItemResult,
+    ItemState,
+    Submission,
+    WorkQueue,
+)
+from sequoia_policy.verdicts import Verdict
+from sequoia_wire.logs import Log, LogKind
+
+from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.generations import (
+    Generation,
+    Generator,
+    RunEnd,
+    RunEndedError,
+)
+from sequoia_rollouts.live import seconds_of
+from sequoia_rollouts.placers import EngineNeed, Placer
+from sequoia_rollouts.recorders import Recorder
+from sequoia_rollouts.rewards import NoRewardError, RewardCaller
+from sequoia_rollouts.senders import Sender
+
+REQUEUE_PAUSE = timedelta(milliseconds=20)
+REFUSAL_PAUSE = timedelta(milliseconds=100)
+
+log = Log('runner')
+ITEM_SENT = log.event(
+    'item sent',
+    'request_id',
+    'submission',
+    'target',
+    'target_running',
+    'target_version',
+    'min_version',
+    'events_before',
+    kind=LogKind.SUCCESS,
+)
+RUN_ENDED = log.event(
+    'run ended', 'request_id', 'submission', 'target', 'reason', 'events'
+)
+ITEM_DONE = log.event(
+    'item done',
+    'request_id',
+    'submission',
+    'waited',
+    'generated',
+    'rewarded',
+    'events',
+    'expected_tokens',
+    'longest_gap',
+    'versions',
+    kind=LogKind.SUCCESS,
+)
+RUN_BROKE_OFF = log.event(
+    'run broke off',
+    'request_id',
+    'submission',
+    'target',
+    'code',
+    'detail',
+    'events',
+    'targets_age',
+    kind=LogKind.FAILURE,
+)
+ITEM_FAILED = log.event(
+    'item failed', 'request_id', 'submission', 'error', kind=LogKind.FAILURE
+)
+ITEM_DEAD = log.event(
+    'item dead', 'request_id', 'submission', 'reason', kind=LogKind.FAILURE
+)
+
+
+@frozen
+class RunnerParts:
+    """What all runners of a host share."""
+
+    clock: Clock
+    directory: Directory
+    sender: Sender
+    placer: Placer
+    rewards: RewardCaller
+
+
+@frozen
+class ItemRun:
+    """One run of an item at one engine."""
+
+    item: Item
+    route: Route
+    need: EngineNeed
+    target: FleetTarget
+
+
+@define(eq=False)
+class ItemRunner:
+    """Runs the items of one submission, each as often as it takes.
+
+    Attributes:
+        created: When this host took the submission up.
+        generations: What was generated of the items under way.
+        active: Number of items under way.
+    """
+
+    parts: RunnerParts
+    submission: Submission
+    queue: WorkQueue
+    recorder: Recorder
+    created: timedelta
+    generations: dict[str, Generation] = field(factory=dict)
+    active: int = 0
+
+    async def run(self, run: ItemRun) -> None:
+        """Run an item at its engine; queue it again if that ends early."""
+        self.active += 1
+        run.target.running += 1
+        try:
+            await self._generate_and_score(run)
+        except Exception as bug:  # noqa: BLE001
+            ITEM_FAILED.write(
+                request_id=run.item.id,
+                submission=self.submission.id,
+                error=repr(bug),
+            )
+            await curio.sleep(REFUSAL_PAUSE.total_seconds())
+            self.queue.put_back(run.item)
+        finally:
+            self.active -= 1
+
+    def bury(self, item: Item, reason: str) -> None:
+        """List an item as dead."""
+        ITEM_DEAD.write(
+            request_id=item.id,
+            submission=self.submission.id,
+            reason=reason,
+        )
+        self.generations.pop(item.id, None)
+        self.recorder.add(ItemResult(item.id, ItemState.DEAD))
+
+    async def _generate_and_score(self, run: ItemRun) -> None:
+        generation = await self._generate(run)
+        if generation is not None:
+            await self._finish(run.item, generation)
+
+    async def _generate(self, run: ItemRun) -> Generation | None:
+        """Return the whole generation, or None if there is none yet."""
+        item = run.item
+        generation = self.generations.setdefault(item.id, Generation(item))
+        ITEM_SENT.write(
+            request_id=item.id,
+            submission=self.submission.id,
+            target=run.target.name,
+            target_running=run.target.running,
+            target_version=run.target.version_of(self.submission.model),
+            min_version=self.submission.min_version,
+            events_before=len(generation.texts),
+        )
+        generator = Generator(
+            self.parts.clock,
+            self.parts.sender,
+            self.submission,
+            run.route.single_version,
+            lambda engine: self.parts.placer.finds_faster(run.need, engine),
+        )
+        try:
+            await generator.run(generation, run.target)
+        except ShedError as failure:
+            await self._retry(item, run.target, failure)
+        except RunEndedError as ended:
+            self._take_end(run, ended.end)
+        finally:
+            self.parts.placer.release(run.target)
+        return generation if generation.done else None
+
+    def _take_end(self, run: ItemRun, end: RunEnd) -> None:
+        RUN_ENDED.write(
+            request_id=run.item.id,
+            submission=self.submission.id,
+            target=run.target.name,
+            reason=end.value,
+            events=self._count_events(run.item),
+        )
+        if end is RunEnd.MOVED:
+            self.queue.put_back(run.item)
+        elif end is RunEnd.FAILED:
+            self._count_failure(run.item, run.route)
+        else:
+            self.bury(run.item, end.value)
+
+    async def _finish(self, item: Item, generation: Generation) -> None:
+        score = ''
+        if item.reward:
+            try:
+                score = await self.parts.rewards.score(item.reward, self.queue)
+            except NoRewardError as failure:
+                self.bury(item, str(failure))
+                return
+        self.generations.pop(item.id, None)
+        self._log_done(generation)
+        self.recorder.add(
+            ItemResult(
+                item.id,
+                ItemState.COMPLETED,
+                generation.render(),
+                tuple(sorted(generation.versions)),
+                score,
+            ),
+        )
+
+    def _log_done(self, generation: Generation) -> None:
+        now = self.parts.clock.elapsed()
+        started = generation.started or now
+        moved = generation.moved or now
+        ITEM_DONE.write(
+            request_id=generation.item.id,
+            submission=self.submission.id,
+            waited=(started - self.created).total_seconds(),
+            generated=(moved - started).total_seconds(),
+            rewarded=(now - moved).total_seconds(),
+            events=len(generation.texts),
+            expected_tokens=generation.item.expected_tokens,
+            longest_gap=generation.longest_gap.total_seconds(),
+            versions=sorted(generation.versions),
+        )
+
+    async def _retry(
+        self,
+        item: Item,
+        target: FleetTarget,
+        failure: ShedError,
+    ) -> None:
+        now = self.parts.clock.elapsed()
+        RUN_BROKE_OFF.write(
+            request_id=item.id,
+            submission=self.submission.id,
+            target=target.name,
+            code=failure.code.value.label,
+            detail=failure.detail,
+            events=self._count_events(item),
+            targets_age=seconds_of(self.parts.directory.targets.age()),
+        )
+        if failure.code is Code.MISPLACED:
+            self.parts.directory.fleet.remove(target.name, now, timedelta())
+        elif failure.code is Code.TARGET_REFUSED:
+            target.pause(now, REFUSAL_PAUSE)
+        else:
+            target.record_failure(now)
+        if failure.verdict is Verdict.NOT_RUN:
+            await curio.sleep(REQUEUE_PAUSE.total_seconds())
+        self.queue.put_back(item)
+
+    def _count_events(self, item: Item) -> int:
+        generation = self.generations.get(item.id)
+        return len(generation.texts) if generation else 0
+
+    def _count_failure(self, item: Item, route: Route) -> None:
+        if self.queue.count_failure(item.id) >= route.max_attempts:
+            self.bury(item, f'{route.max_attempts} failures')
+        else:
+            self.queue.put_back(item)
--- a/packages/rollouts/sequoia_rollouts/owners.py
+++ b/packages/rollouts/sequoia_rollouts/owners.py
@@ -130,6 +130,10 @@
         live = self.heartbeats.live_owners()
         return rank_names(key, live)[0] if live else ''
 
+    def is_first(self, key: str) -> bool:
+        """Tell whether this host comes first among the live ones for a key."""
+        return self.choose_owner(key) == self.heartbeats.owner
+
     def count_owners(self) -> int:
         """Return how many hosts own a submission that is not ended."""
         owners = {
--- a/tests/platform_adapter/test_cuts.py
+++ b/tests/platform_adapter/test_cuts.py
@@ -4,7 +4,6 @@
 from sequoia_wire.messages import Address
 from sites import open_site, wait_until
 
-
 NOBODY = Address('127.0.0.1', 1)
 
 
--- /dev/null
+++ b/tests/platform_adapter/test_upkeep.py
@@ -0,0 +1,56 @@
+"""Tests of loops that go on, and of rows that are removed."""
+
+from datetime import timedelta
+
+import curio
+from attrs import evolve
+from sequoia_rollouts.parts import keep_running
+from sites import open_site
+
+
+def test_a_loop_goes_on_after_an_error_that_it_did_not_expect():
+    runs = []
+
+    async def work():
+        runs.append(len(runs))
+        if len(runs) < 3:
+            raise KeyError('unexpected')
+        await curio.sleep(10)
+
+    async def main():
+        async with curio.ignore_after(2):
+            await keep_running(work)
+
+    curio.run(main)
+    assert runs == [0, 1, 2]
+
+
+def test_an_ended_submission_is_removed_after_its_time():
+    async def main():
+        async with open_site() as site:
+            host = site.hosts[0]
+            await site.submit(host)
+            await site.read_whole(host)
+            await site.call(host, 'DELETE', '/v1/lots/lot1')
+            await host.sweeper.sweep()
+            kept = len(site.store.find('results'))
+            owned = host.board.submissions['lot1']
+            earlier = owned.ownership.accepted - timedelta(seconds=200)
+            host.board.submissions['lot1'] = evolve(
+                owned,
+                ownership=evolve(owned.ownership, accepted=earlier),
+            )
+            await host.sweeper.sweep()
+            gone = await site.call(host, 'GET', '/v1/lots/lot1')
+            rows = [
+                key
+                for table in ('results', 'specifications', 'ownership')
+                for key in site.store.find(table)
+                if 'lot1' in key
+            ]
+            return kept, gone.status, rows
+
+    kept, status, rows = curio.run(main)
+    assert kept == 6
+    assert status == 404
+    assert rows == []
