Give reward slots to groups that are nearly whole; pause what is out of reach

Reward calls now wait in one queue ordered by what their group still lacks, and leave one slot. Targets at whose address nobody answers pause for 1 s, longer than a connection attempt; a host's lost store shows after 1.2 s instead of 1.5 s.

--- a/packages/policy/sequoia_policy/fleets.py
+++ b/packages/policy/sequoia_policy/fleets.py
@@ -8,6 +8,7 @@
 
 FIRST_PAUSE = timedelta(milliseconds=250)
 LONGEST_PAUSE = timedelta(seconds=2)
+UNREACHABLE_PAUSE = timedelta(seconds=1)
 MOST_DOUBLINGS = 3
 SMOOTHING = 0.3  # weight of the newest duration
 FORGET_AFTER = timedelta(seconds=4)  # age at which a duration counts no more
@@ -132,6 +133,12 @@
         self.failures += 1
         self.paused_until = now + pause
 
+    def record_unreachable(self, now: timedelta) -> None:
+        """Pause a target at whose address nobody answers."""
+        self.record_failure(now)
+        self.unreachable = True
+        self.pause(now, UNREACHABLE_PAUSE)
+
     def pause(self, now: timedelta, pause: timedelta) -> None:
         """Send no new work for a while."""
         self.paused_until = max(self.paused_until, now + pause)
--- a/packages/policy/sequoia_policy/reachability.py
+++ b/packages/policy/sequoia_policy/reachability.py
@@ -5,9 +5,9 @@
 
 from attrs import define, field, frozen
 
-STORE_LOST_AFTER = timedelta(milliseconds=1500)
-PEER_LOST_AFTER = timedelta(milliseconds=1500)
-STORE_FRESH = timedelta(milliseconds=1000)
+STORE_LOST_AFTER = timedelta(milliseconds=1200)
+PEER_LOST_AFTER = timedelta(milliseconds=1200)
+STORE_FRESH = timedelta(milliseconds=800)
 
 
 @frozen
--- a/packages/policy/sequoia_policy/submissions.py
+++ b/packages/policy/sequoia_policy/submissions.py
@@ -115,6 +115,19 @@
     accepted: timedelta = timedelta()
 
 
+@frozen(order=True)
+class GroupRank:
+    """Orders the groups of a submission; the lowest comes first.
+
+    Attributes:
+        unfinished: Items of the group without a result.
+        position: Place of the group in the submission.
+    """
+
+    unfinished: int
+    position: int
+
+
 @define
 class WorkQueue:
     """Orders the items of one submission.
@@ -127,9 +140,16 @@
     submission: Submission
     waiting: list[Item] = field(init=False)
     failures: Counter[str] = field(factory=Counter)
+    unfinished: Counter[str] = field(init=False)
+    order: dict[str, int] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Queue all items."""
+        groups = [item.group for item in self.submission.items]
+        self.unfinished = Counter(groups)
+        self.order = {}
+        for group in groups:
+            self.order.setdefault(group, len(self.order))
         self.waiting = sorted(
             self.submission.items,
             key=lambda item: -item.expected_tokens,
@@ -137,6 +157,9 @@
 
     def drop(self, done: set[str]) -> None:
         """Forget the items that have a result."""
+        for item in self.submission.items:
+            if item.id in done:
+                self.finish(item)
         self.waiting = [item for item in self.waiting if item.id not in done]
 
     def take(self) -> Item | None:
@@ -147,6 +170,19 @@
         """Queue an item again, first."""
         self.waiting.insert(0, item)
 
+    def finish(self, item: Item) -> None:
+        """Count an item that has its result."""
+        self.unfinished[item.group] -= 1
+
+    def rank_group(self, item: Item) -> GroupRank:
+        """Return the rank of an item's group: nearly whole ones first.
+
+        The trainer waits for whole groups and not for all of them, so that
+        work on several groups at a time delays each.
+        """
+        group = item.group
+        return GroupRank(self.unfinished[group], self.order[group])
+
     def count_failure(self, key: str) -> int:
         """Count a failed run of an item or reward; return how many."""
         self.failures[key] += 1
--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/heartbeats.py
@@ -30,6 +30,7 @@
     Attributes:
         renewed: When the last heartbeat that the store took was sent.
         store_ahead: The store's clock less that of this host.
+        answered: When the store last answered.
     """
 
     store: Store
@@ -39,6 +40,7 @@
     presences: PresenceTable = field(factory=PresenceTable)
     renewed: timedelta | None = None
     store_ahead: timedelta | None = None
+    answered: timedelta | None = None
 
     def __attrs_post_init__(self) -> None:
         """Draw the name of this process."""
@@ -59,6 +61,12 @@
             return None
         return self.clock.elapsed() - self.renewed
 
+    def store_age(self) -> timedelta | None:
+        """Return the time since the store last answered this host."""
+        if self.answered is None:
+            return None
+        return self.clock.elapsed() - self.answered
+
     def holds_lease(self) -> bool:
         """Tell whether no other host can think that this one is dead."""
         if self.renewed is None:
@@ -100,6 +108,7 @@
         write = RowWrite(heartbeat_key(self.host), encode(self.own))
         await self.store.commit(Transaction((write,)))
         self.renewed = sent
+        self.answered = self.clock.elapsed()
 
     async def read(self) -> None:
         """Read all heartbeats.
@@ -112,6 +121,7 @@
         now = self.clock.elapsed()
         self.presences.update(beats, now)
         self.store_ahead = page.now - now
+        self.answered = now
 
     async def _attempt(self, action: object) -> None:
         started = self.clock.elapsed()
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -24,6 +24,7 @@
 from sequoia_rollouts.peers import PeerWatch
 from sequoia_rollouts.placers import Placer
 from sequoia_rollouts.rewards import RewardCaller
+from sequoia_rollouts.scorers import ScorerQueue
 from sequoia_rollouts.senders import Sender
 from sequoia_rollouts.settings import HostSettings
 from sequoia_rollouts.shutdowns import Shutdown
@@ -104,7 +105,7 @@
             self.clock,
             self.directory,
             sender,
-            placer,
+            ScorerQueue(placer),
             self.chance,
         )
         parts = RunnerParts(
@@ -142,7 +143,7 @@
             self.heartbeats,
             self.settings.domain,
             self.settings.peer,
-            self.directory.operators.age,
+            self.heartbeats.store_age,
         )
         self.status = StatusServers(self)
 
--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -145,6 +145,7 @@
             reason=reason,
         )
         self.generations.pop(item.id, None)
+        self.queue.finish(item)
         self.recorder.add(ItemResult(item.id, ItemState.DEAD))
 
     async def _generate_and_score(self, run: ItemRun) -> None:
@@ -201,12 +202,17 @@
         score = ''
         if item.reward:
             try:
-                score = await self.parts.rewards.score(item.reward, self.queue)
+                score = await self.parts.rewards.score(
+                    item,
+                    item.reward,
+                    self.queue,
+                )
             except NoRewardError as failure:
                 self.bury(item, str(failure))
                 return
         self.generations.pop(item.id, None)
         self._log_done(generation)
+        self.queue.finish(item)
         self.recorder.add(
             ItemResult(
                 item.id,
@@ -253,6 +259,8 @@
             self.parts.directory.fleet.remove(target.name, now, timedelta())
         elif failure.code is Code.TARGET_REFUSED:
             target.pause(now, REFUSAL_PAUSE)
+        elif failure.code is Code.CONNECT_FAILED:
+            target.record_unreachable(now)
         else:
             target.record_failure(now)
         if failure.verdict is Verdict.NOT_RUN:
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -270,9 +270,10 @@
         now = self.clock.elapsed()
         if failure.code is Code.MISPLACED:
             self.directory.fleet.remove(target.name, now, timedelta())
+        elif failure.code is Code.CONNECT_FAILED:
+            target.record_unreachable(now)
         elif failure.code is not Code.TARGET_REFUSED:
             target.record_failure(now)
-            target.unreachable = failure.code is Code.CONNECT_FAILED
 
     def _check_retry(self, attempts: LiveAttempts, failure: ShedError) -> None:
         """Raise the failure unless the request may be tried again."""
--- a/packages/rollouts/sequoia_rollouts/placers.py
+++ b/packages/rollouts/sequoia_rollouts/placers.py
@@ -3,16 +3,14 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import curio
 from attrs import define, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.fleets import FleetTarget, find_usual
 
 from sequoia_rollouts.directories import Directory
 
-LOOK_PERIOD = timedelta(milliseconds=10)
 MOVE_FACTOR = 1.4  # times slower than the engine to move to
-LIVE_RESERVE = 2  # slots of a plain target that reward calls leave free
+LIVE_RESERVE = 1  # slots of a plain target that reward calls leave free
 
 
 @frozen
@@ -72,24 +70,6 @@
         ]
         return self._choose(free, now)
 
-    async def acquire_engine(self, need: EngineNeed) -> FleetTarget:
-        """Wait for an engine and take one of its slots."""
-        target = self.choose_engine(need)
-        while target is None:
-            await curio.sleep(LOOK_PERIOD.total_seconds())
-            target = self.choose_engine(need)
-        target.running += 1
-        return target
-
-    async def acquire_scorer(self, service: str) -> FleetTarget:
-        """Wait for a plain target and take one of its slots."""
-        target = self.choose_scorer(service)
-        while target is None:
-            await curio.sleep(LOOK_PERIOD.total_seconds())
-            target = self.choose_scorer(service)
-        target.running += 1
-        return target
-
     def finds_faster(self, need: EngineNeed, target: FleetTarget) -> bool:
         """Tell whether a run should go on at a much faster engine."""
         now = self.clock.elapsed()
--- a/packages/rollouts/sequoia_rollouts/rewards.py
+++ b/packages/rollouts/sequoia_rollouts/rewards.py
@@ -2,6 +2,7 @@
 
 import random
 from datetime import timedelta
+from functools import partial
 
 import curio
 from attrs import define
@@ -9,13 +10,13 @@
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.routing import Route
-from sequoia_policy.submissions import RewardCall, WorkQueue
+from sequoia_policy.submissions import Item, RewardCall, WorkQueue
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import RequestHead, encode_headers
 
 from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.placers import Placer
+from sequoia_rollouts.scorers import ScorerQueue
 from sequoia_rollouts.senders import LabelledAnswer, Outgoing, Sender
 
 FIRST_ERROR = 300
@@ -48,23 +49,30 @@
     clock: Clock
     directory: Directory
     sender: Sender
-    placer: Placer
+    scorers: ScorerQueue
     chance: random.Random
 
-    async def score(self, call: RewardCall, queue: WorkQueue) -> str:
+    async def score(
+        self,
+        item: Item,
+        call: RewardCall,
+        queue: WorkQueue,
+    ) -> str:
         """Return the receipt of a successful reward call.
 
         Args:
+            item: The item that is scored.
             call: The call, which may be repeated.
-            queue: Counts its failures.
+            queue: Counts its failures and ranks the item.
 
         Raises:
             NoRewardError: If it never succeeds.
         """
+        rank = partial(queue.rank_group, item)
         while True:
             route = self._find_route(call)
             service = route.choose_service(self.chance)
-            target = await self.placer.acquire_scorer(service)
+            target = await self.scorers.acquire(service, rank)
             try:
                 labelled = await self._send(call, route, target)
             except ShedError as failure:
@@ -72,7 +80,7 @@
                 await curio.sleep(RETRY_PAUSE.total_seconds())
                 continue
             finally:
-                self.placer.release(target)
+                await self.scorers.release(target)
             if self._is_success(labelled):
                 return labelled.labels.receipt
             self._count(call, route, queue, labelled.answer.status)
@@ -137,6 +145,8 @@
         now = self.clock.elapsed()
         if failure.code is Code.MISPLACED:
             self.directory.fleet.remove(target.name, now, timedelta())
+        elif failure.code is Code.CONNECT_FAILED:
+            target.record_unreachable(now)
         elif failure.verdict is Verdict.NOT_RUN:
             target.pause(now, RETRY_PAUSE)
         else:
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -19,7 +19,7 @@
 
 from sequoia_rollouts.dialects import AnswerLabels, CallLabels, TargetDialect
 
-CONNECT_PATIENCE = timedelta(milliseconds=300)
+CONNECT_PATIENCE = timedelta(milliseconds=200)
 SLOWEST_ANSWER = timedelta(seconds=30)  # without a byte of progress
 SHORTEST_PATIENCE = timedelta(milliseconds=1)
 GONE_STATUS = 421
--- a/tests/platform_adapter/engine_standin.py
+++ b/tests/platform_adapter/engine_standin.py
@@ -155,6 +155,12 @@
     """A plain server that answers each request at once."""
 
     delay: float = 0.005
+    slots: int = 4
+    places: curio.Semaphore = field(init=False)
+
+    def __attrs_post_init__(self):
+        super().__attrs_post_init__()
+        self.places = curio.Semaphore(self.slots)
 
     def entry(self, state='ready', zone='z1', born=1):
         entry = super().entry(state, zone, born)
@@ -163,8 +169,9 @@
 
     async def run(self, exchange):
         request_id = exchange.head.header('attempt-id')
-        self.runs.append((request_id, exchange.head.header('deadline-ms')))
-        await curio.sleep(self.delay)
+        async with self.places:
+            self.runs.append((request_id, exchange.head.header('deadline-ms')))
+            await curio.sleep(self.delay)
         status = 200
         if self.fail:
             self.fail -= 1
