Load versions by need: a model's share of engines holds the newest

Each version loaded on all of them, about 2 loads a second, as much as engines can load (measured in a scratch copy: five at a time take 2.4 s, two 0.95 s, the same rate); engines fell two versions behind and steps waited up to 3.8 s. Now engines too old for the newest step load first and at once; others only until the model's share holds the newest version; the next load starts when the one before should have ended, not when a late report says so.

--- a/packages/policy/sequoia_policy/submissions.py
+++ b/packages/policy/sequoia_policy/submissions.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections import Counter
+from collections.abc import Iterable
 from datetime import timedelta
 
 from attrs import define, field, frozen
@@ -106,6 +107,8 @@
         total: Number of its items.
         pieces: Rows that its specification takes.
         accepted: The table's clock when it was accepted.
+        min_version: Oldest version that may generate a token.
+        newest_version: Newest named version when it was accepted.
     """
 
     owner: str
@@ -113,6 +116,18 @@
     pieces: int = 0
     ended: bool = False
     accepted: timedelta = timedelta()
+    model: str = ''
+    min_version: int = 0
+    newest_version: int = 0
+
+
+def find_slack(steps: Iterable[Ownership], model: str) -> int:
+    """Return how many versions behind the newest step lets engines be."""
+    found = [step for step in steps if step.model == model]
+    if not found:
+        return 0
+    newest = max(found, key=lambda step: step.accepted)
+    return max(0, newest.newest_version - newest.min_version)
 
 
 @frozen(order=True)
--- a/packages/rollouts/sequoia_rollouts/desks.py
+++ b/packages/rollouts/sequoia_rollouts/desks.py
@@ -229,6 +229,9 @@
             len(submission.items),
             len(pieces),
             accepted=self.board.heartbeats.store_now(),
+            model=submission.model,
+            min_version=submission.min_version,
+            newest_version=self.directory.newest_version(submission.model),
         )
         writes = (write_ownership(submission.id, ownership), *pieces)
         guards = tuple(Guard(write.key, ABSENT) for write in writes)
--- a/packages/rollouts/sequoia_rollouts/directories.py
+++ b/packages/rollouts/sequoia_rollouts/directories.py
@@ -14,6 +14,7 @@
 from sequoia_rollouts.notes import EngineNote
 from sequoia_rollouts.stores import Row, Store
 
+FIRST_VERSION = 1  # that engines hold before any is named
 LONGEST_LOAD = timedelta(seconds=2)  # unless the end is told before
 LAPSE_GRACE = timedelta(milliseconds=2200)
 TROUBLE_SPAN = timedelta(seconds=3)  # after which removals are believed
@@ -101,6 +102,10 @@
             return False
         return self.configuration.version > 0
 
+    def newest_version(self, model: str) -> int:
+        """Return the newest version that was named."""
+        return max(FIRST_VERSION, self.versions.get(model, 0))
+
     def take_note(self, name: str, note: EngineNote) -> None:
         """Take what the host that orders an engine says of it."""
         target = self.fleet.targets.get(name)
--- a/packages/rollouts/sequoia_rollouts/orders.py
+++ b/packages/rollouts/sequoia_rollouts/orders.py
@@ -23,8 +23,8 @@
 from sequoia_rollouts.stores import Store, Transaction
 
 CALL_PATIENCE = timedelta(milliseconds=700)
-LOAD_TIME = timedelta(milliseconds=900)  # before the first look at a load
-LOAD_LOOK = timedelta(milliseconds=250)  # between later looks
+LOAD_TIME = timedelta(milliseconds=950)  # before the first look at a load
+LOAD_LOOK = timedelta(milliseconds=150)  # between later looks
 ORDER_LIMIT = timedelta(seconds=8)  # after which an order is given up
 OK = 200
 ACCEPTED = 202
@@ -40,15 +40,10 @@
 
 @frozen
 class Wanted:
-    """A version that an engine should move to.
-
-    Attributes:
-        behind: Number of versions that the engine is behind.
-    """
+    """A version that an engine should move to."""
 
     model: str
     version: int
-    behind: int = 0
 
 
 @frozen
--- a/packages/rollouts/sequoia_rollouts/owners.py
+++ b/packages/rollouts/sequoia_rollouts/owners.py
@@ -130,16 +130,16 @@
         live = self.heartbeats.live_owners()
         return rank_names(key, live)[0] if live else ''
 
-    def is_first(self, key: str) -> bool:
-        """Tell whether this host comes first among the live ones for a key."""
-        return self.choose_owner(key) == self.heartbeats.owner
+    def list_ownerships(self) -> list[Ownership]:
+        """Return the ownership of all submissions."""
+        return [owned.ownership for owned in self.submissions.values()]
 
     def count_owners(self) -> int:
         """Return how many hosts own a submission that is not ended."""
         owners = {
-            owned.ownership.owner
-            for owned in self.submissions.values()
-            if not owned.ownership.ended
+            ownership.owner
+            for ownership in self.list_ownerships()
+            if not ownership.ended
         }
         return len(owners - {''})
 
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -54,13 +54,17 @@
     async def sweep(self) -> None:
         """Remove what is old now."""
         for owned in tuple(self.board.submissions.values()):
-            if self._is_old(owned) and self.board.is_first(owned.id):
+            if self._is_old(owned) and self._is_first(owned.id):
                 await self._attempt(owned)
         heartbeats = self.board.heartbeats
         for host in heartbeats.presences.long_gone(self.clock.elapsed()):
-            if self.board.is_first(host):
+            if self._is_first(host):
                 await self._remove_heartbeat(host)
 
+    def _is_first(self, key: str) -> bool:
+        """Tell whether this host comes first among the live ones for a key."""
+        return self.board.choose_owner(key) == self.board.heartbeats.owner
+
     def _is_old(self, owned: OwnedSubmission) -> bool:
         age = self.board.heartbeats.store_now() - owned.ownership.accepted
         limit = KEEP_ENDED if owned.ownership.ended else KEEP_OPEN
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -1,6 +1,5 @@
 """Moves engines to the versions that trainers name, by orders."""
 
-import math
 from datetime import timedelta
 
 import curio
@@ -8,12 +7,24 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ShedError
 from sequoia_policy.fleets import FleetTarget
+from sequoia_policy.loads import (
+    EngineState,
+    ModelNeed,
+    PlannedLoad,
+    plan_loads,
+)
 from sequoia_policy.routing import Service
+from sequoia_policy.submissions import find_slack
 from sequoia_wire.codecs import encode
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.orders import EngineOrderer, OrderPermit, Wanted
+from sequoia_rollouts.orders import (
+    LOAD_TIME,
+    EngineOrderer,
+    OrderPermit,
+    Wanted,
+)
 from sequoia_rollouts.owners import OwnedDuty, OwnershipBoard
 from sequoia_rollouts.senders import Sender
 from sequoia_rollouts.stores import (
@@ -28,10 +39,8 @@
 
 LOOK_PERIOD = timedelta(milliseconds=50)
 COMMIT_PATIENCE = timedelta(milliseconds=600)
-START_DELAY = timedelta(milliseconds=300)  # lets a waiting step start first
 RETRY_PAUSE = timedelta(milliseconds=300)
 HANDOVER_MARGIN = timedelta(milliseconds=300)  # beyond the lease of orders
-LOADING_SHARE = 0.4  # engines that load at a time
 
 log = Log('weights')
 DUTY_TAKEN = log.event('duty taken', 'duty', 'before')
@@ -60,6 +69,8 @@
         may_order_from: When this host may give its first order.
         named: When each version of a model was first seen.
         ordering: Names of the engines with an order under way.
+        loading_until: When the newest load of each engine should end; its
+            report says so only later.
     """
 
     clock: Clock
@@ -72,6 +83,7 @@
     may_order_from: timedelta = timedelta()
     ordering: set[str] = field(factory=set)
     named: dict[str, SeenVersion] = field(factory=dict)
+    loading_until: dict[str, timedelta] = field(factory=dict)
 
     @property
     def duty(self) -> str:
@@ -86,8 +98,11 @@
             return
         if not self.may_order(held):
             return
-        for target, wanted in self._find_due():
+        for load in self._plan():
+            target = self.directory.fleet.targets[load.engine]
             self.ordering.add(target.name)
+            self.loading_until[target.name] = self.clock.elapsed() + LOAD_TIME
+            wanted = Wanted(load.model, load.version)
             await curio.spawn(
                 self._run_order,
                 target,
@@ -159,46 +174,38 @@
         self.board.note_duty(OwnedDuty(self.duty, owner, written))
         return True
 
-    def _find_due(self) -> list[tuple[FleetTarget, Wanted]]:
-        """Return the engines that should get an order now, idle ones first."""
-        engines = self.directory.fleet.find(self.service.name)
-        most = max(1, math.ceil(len(engines) * LOADING_SHARE))
-        free = max(0, most - len(self.ordering))
-        now = self.clock.elapsed()
-        due = []
-        for target in engines:
-            wanted = self._find_wanted(target)
-            if wanted and target.is_usable(now):
-                due.append((target, wanted))
-        due.sort(key=rank_order)
-        return due[:free]
-
-    def _find_wanted(self, target: FleetTarget) -> Wanted | None:
-        if target.name in self.ordering:
-            return None
-        found = None
-        for model in self.service.models:
-            version = self.directory.versions.get(model, 0)
-            behind = version - target.version_of(model)
-            if behind <= 0 or not self._is_due(model):
-                continue
-            if found is None or behind > found.behind:
-                found = Wanted(model, version, behind)
-        return found
-
-    def _is_due(self, model: str) -> bool:
-        """Tell whether the loads of a model's newest version may begin.
-
-        An engine that loads starts no runs. The step that a new version
-        lets begin may still use the one before, so it is placed first.
-        """
+    def _plan(self) -> tuple[PlannedLoad, ...]:
+        """Return the orders that are due now."""
         now = self.clock.elapsed()
+        needs = [
+            self._find_need(model, now)
+            for model in self.service.models
+            if model in self.directory.versions
+        ]
+        engines = [
+            EngineState(
+                target.name,
+                tuple(target.version_of(need.model) for need in needs),
+                target.running,
+                target.name not in self.ordering and target.is_usable(now),
+            )
+            for target in self.directory.fleet.find(self.service.name)
+        ]
+        under_way = sum(until > now for until in self.loading_until.values())
+        return plan_loads(engines, needs, under_way)
+
+    def _find_need(self, model: str, now: timedelta) -> ModelNeed:
         version = self.directory.versions[model]
         seen = self.named.get(model)
         if seen is None or seen.version != version:
-            self.named[model] = SeenVersion(version, now)
-            return False
-        return now - seen.since >= START_DELAY
+            seen = SeenVersion(version, now)
+            self.named[model] = seen
+        return ModelNeed(
+            model,
+            version,
+            find_slack(self.board.list_ownerships(), model),
+            now - seen.since,
+        )
 
     async def _run_order(
         self,
@@ -235,15 +242,6 @@
         )
 
 
-def rank_order(due: tuple[FleetTarget, Wanted]) -> tuple[int, int]:
-    """Return the sort key of an order: farthest behind, then idle first.
-
-    An engine that is two versions behind may not work on any open step.
-    """
-    target, wanted = due
-    return -wanted.behind, target.running
-
-
 @define
 class WeightKeepers:
     """One keeper for each service of engines."""
