Explain an id from log lines of several hosts

sequoiactl explain reads files or standard input and prints the lines about a request, item or submission in order, with what happened meanwhile to the hosts and targets that they name. Lines now carry their host's name. The tests found that lines dropped for a slow reader were never counted in a line once the queue was empty; mended.

--- a/packages/operator/sequoiactl/cli.py
+++ b/packages/operator/sequoiactl/cli.py
@@ -1,6 +1,8 @@
 """The command line of operators."""
 
 import sys
+from collections.abc import Iterable
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -9,6 +11,7 @@
 
 from sequoiactl import hosts, plans
 from sequoiactl.clients import AdminClient, RefusedError
+from sequoiactl.stories import pick_story, read_lines
 
 EXIT_REFUSED = 1
 EXIT_UNREACHABLE = 3
@@ -56,6 +59,32 @@
     context.obj = AdminClient(addresses, operator, key)
 
 
+@app.command()
+def explain(
+    wanted: Annotated[
+        str,
+        typer.Argument(
+            metavar='ID',
+            help='Id of a request, an item or a submission.',
+        ),
+    ],
+    logs: Annotated[
+        list[Path] | None,
+        typer.Argument(help='Log files of hosts; standard input if none.'),
+    ] = None,
+) -> None:
+    """Tell from log lines of several hosts what became of an id, and why."""
+    texts: Iterable[str] = sys.stdin
+    if logs:
+        texts = [text for log in logs for text in log.read_text().splitlines()]
+    story = pick_story(read_lines(texts), wanted)
+    if not story:
+        sys.stderr.write(f'sequoiactl: no line is about {wanted}\n')
+        raise typer.Exit(EXIT_REFUSED)
+    for line in story:
+        typer.echo(line.render(story[0].at))
+
+
 def main() -> None:
     """Run a command; explain a refusal in one line."""
     try:
--- /dev/null
+++ b/packages/operator/tests/test_stories.py
@@ -0,0 +1,87 @@
+"""Tests of the lines that explain an id."""
+
+import orjson
+from sequoiactl.cli import app
+from sequoiactl.stories import pick_story, read_line, read_lines
+from typer.testing import CliRunner
+
+
+def make(at, host, name, **fields):
+    return orjson.dumps(
+        {'timestamp': at, 'host': host, 'message_type': name, **fields},
+    ).decode()
+
+
+LINES = [
+    make(20.0, 'h2', 'submission: submission adopted', submission='s1'),
+    make(10.0, 'h1', 'submission: submission accepted', submission='s1'),
+    make(
+        10.1,
+        'h1',
+        'runner: item sent',
+        request_id='i1',
+        submission='s1',
+        target='e1',
+    ),
+    make(
+        10.2,
+        'h1',
+        'runner: item sent',
+        request_id='i2',
+        submission='s1',
+        target='e2',
+    ),
+    make(10.3, 'h1', 'directory: target gone', target='e1'),
+    make(10.4, 'h3', 'directory: target gone', target='e1'),
+    make(10.5, 'h1', 'directory: target gone', target='e9'),
+    make(11.0, 'h1', 'feed: store is away', table='op'),
+    make(21.0, 'h2', 'runner: item done', request_id='i1', submission='s1'),
+    make(99.0, 'h1', 'feed: store is away', table='op'),
+    'a line of another program {',
+    '',
+]
+
+
+def tell(wanted):
+    return [
+        (line.host, line.name.partition(': ')[2])
+        for line in pick_story(read_lines(LINES), wanted)
+    ]
+
+
+def test_the_story_of_an_item_is_told_across_hosts_in_order():
+    assert tell('i1') == [
+        ('h1', 'submission accepted'),
+        ('h1', 'item sent'),
+        ('h1', 'target gone'),
+        ('h1', 'store is away'),
+        ('h2', 'submission adopted'),
+        ('h2', 'item done'),
+    ]
+
+
+def test_the_story_of_a_submission_has_all_its_items():
+    names = [name for _host, name in tell('s1')]
+    assert names.count('item sent') == 2
+
+
+def test_an_unknown_id_has_no_story():
+    assert tell('none') == []
+
+
+def test_text_before_the_json_is_left_out():
+    line = read_line(f'  3.2 node-1 {LINES[0]}')
+    assert line.host == 'h2'
+    assert read_line('[1, 2]') is None
+
+
+def test_the_command_reads_files_and_standard_input(tmp_path):
+    log = tmp_path / 'h1.log'
+    log.write_text('\n'.join(LINES))
+    runner = CliRunner()
+    by_file = runner.invoke(app, ['explain', 'i1', str(log)])
+    by_input = runner.invoke(app, ['explain', 'i1'], input='\n'.join(LINES))
+    assert by_file.exit_code == 0
+    assert by_file.output == by_input.output
+    assert 'target=e1' in by_file.output
+    assert runner.invoke(app, ['explain', 'no', str(log)]).exit_code == 1
--- a/packages/wire/sequoia_wire/logs.py
+++ b/packages/wire/sequoia_wire/logs.py
@@ -99,15 +99,19 @@
 def start_logs(
     stream: TextIO = sys.stdout,
     clock: Callable[[], timedelta] | None = None,
+    host: str = '',
 ) -> LogOutput:
     """Write all later log lines to a stream.
 
     Args:
         stream: Has a file number.
         clock: Bounds the lines a second; None for no bound.
+        host: Name that each line carries; empty for none.
     """
     sink = LineSink(stream.fileno())
     eliot.add_destinations(sink.take)
+    if host:
+        eliot.add_global_fields(host=host)
     OUTPUT.sink = sink
     OUTPUT.budget = LogBudget(clock) if clock else None
     return OUTPUT
--- a/packages/wire/sequoia_wire/sinks.py
+++ b/packages/wire/sequoia_wire/sinks.py
@@ -40,12 +40,12 @@
         """Write lines until none is left or the reader takes no more."""
         poll = select.poll()
         poll.register(self.file_number, select.POLLOUT)
+        if self.dropped and not self.waiting:
+            self._report_dropped()
         for _ in range(MOST_WRITES):
             if not self.waiting or not poll.poll(0):
                 return
             self._write()
-        if self.dropped and not self.waiting:
-            self._report_dropped()
 
     def _queue(self, line: bytes) -> None:
         self.waiting.append(line)
