Keep the stream of a log test open; no read of a test waits

A test of logs hung in its last read: its stream was collected and closed, so that nothing was written.

--- a/packages/wire/tests/test_logs.py
+++ b/packages/wire/tests/test_logs.py
@@ -14,6 +14,7 @@
 @pytest.fixture
 def pipe():
     reader, writer = os.pipe()
+    os.set_blocking(reader, False)
     yield reader, writer
     for number in (reader, writer):
         os.close(number)
@@ -76,9 +77,16 @@
     assert budget.take_summary() is None
 
 
+def reset_output():
+    OUTPUT.sink = None
+    OUTPUT.budget = None
+    OUTPUT.observer = None
+
+
 def test_events_are_observed_also_when_they_are_left_out(pipe):
     clock = ManualClock()
-    output = start_logs(os.fdopen(os.dup(pipe[1]), 'w'), clock.elapsed)
+    stream = os.fdopen(os.dup(pipe[1]), 'w')
+    output = start_logs(stream, clock.elapsed)
     seen = []
     output.observer = lambda event, fields: seen.append(event.name)
     event = Log('part').event('went well', 'number', kind=LogKind.SUCCESS)
@@ -87,8 +95,7 @@
             event.write(number=number)
     finally:
         eliot.remove_destination(output.sink.take)
-        OUTPUT.sink = None
-        OUTPUT.budget = None
-        OUTPUT.observer = None
+        reset_output()
+        stream.close()
     assert len(seen) == 400
     assert os.read(pipe[0], 65536).count(b'went well') < 400
