--- a/packages/operator/sequoiactl/stories.py
+++ b/packages/operator/sequoiactl/stories.py
@@ -57,7 +57,9 @@
 
     def mentions(self, ids: frozenset[str]) -> bool:
         """Tell whether the line is about one of some ids."""
-        return any(self.fields.get(name) in ids for name in ID_FIELDS)
+        if any(self.fields.get(name) in ids for name in ID_FIELDS):
+            return True
+        return any(name in str(self.fields.get('path', '')) for name in ids)
 
     def render(self, start: datetime) -> str:
         """Return the line for people, with the time since ``start``."""
--- a/packages/policy/tests/test_imports.py
+++ b/packages/policy/tests/test_imports.py
@@ -10,12 +10,14 @@
     'policy': set(),
     'wire': {'sequoia_policy'},
     'entry': {'sequoia_policy', 'sequoia_wire'},
+    'rollouts': {'sequoia_policy', 'sequoia_wire'},
     'operator': {'sequoia_policy', 'sequoia_wire'},
 }
 OURS = {
     'sequoia_policy': 'policy',
     'sequoia_wire': 'wire',
     'sequoiashed': 'entry',
+    'sequoia_rollouts': 'rollouts',
     'sequoiactl': 'operator',
     'sequoia_standins': 'standins',
     'sequoia_bench': 'bench',
--- a/packages/wire/sequoia_wire/clients.py
+++ b/packages/wire/sequoia_wire/clients.py
@@ -257,7 +257,7 @@
         except (OSError, curio.TaskTimeout) as failure:
             raise ShedError(
                 Code.CONNECT_FAILED,
-                f'{address}: {failure}',
+                f'{address}: {failure!r}',
             ) from failure
         return ClientConnection(address, sock)
 
--- a/packages/wire/tests/test_logs.py
+++ b/packages/wire/tests/test_logs.py
@@ -77,7 +77,9 @@
     assert budget.take_summary() is None
 
 
-def reset_output():
+def reset_output(destination, stream):
+    eliot.remove_destination(destination)
+    stream.close()
     OUTPUT.sink = None
     OUTPUT.budget = None
     OUTPUT.observer = None
@@ -94,8 +96,6 @@
         for number in range(400):
             event.write(number=number)
     finally:
-        eliot.remove_destination(output.sink.take)
-        reset_output()
-        stream.close()
+        reset_output(output.sink.take, stream)
     assert len(seen) == 400
     assert os.read(pipe[0], 65536).count(b'went well') < 400
--- /dev/null
+++ b/tests/platform_adapter/test_boundary.py
@@ -0,0 +1,49 @@
+"""Tests that the platform's names stay in its folder."""
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+NAMES = re.compile(
+    '|'.join(
+        (
+            'pathPrefix',
+            'targetLatencyMs',
+            'trafficSplit',
+            'rows-tx',
+            'rows-get',
+            'rows-feed',
+            'blob-put',
+            'kv-events',
+            'Attempt-Id',
+            'attempt-id',
+            'Server-Stamp',
+            'server-stamp',
+            'Expect-Instance',
+            'expect-instance',
+            'Prompt-Prefix',
+            '/v1/lots',
+            '/v1/items',
+            '/v1/order',
+            '/v1/report',
+            'coldLeftMs',
+            'numWaiting',
+            'groupCount',
+            'sequoia_platform',
+        ),
+    ),
+)
+
+
+def find_sources(folder):
+    for source in folder.rglob('*.py'):
+        if 'tests' not in source.parts and 'build' not in source.parts:
+            yield source
+
+
+def test_nothing_outside_the_adapter_knows_the_platforms_names():
+    sources = list(find_sources(ROOT / 'packages'))
+    assert sources
+    for source in sources:
+        found = NAMES.search(source.read_text())
+        assert not found, f'{source.name}: {found and found[0]}'
--- /dev/null
+++ b/tests/platform_adapter/test_decoders.py
@@ -0,0 +1,186 @@
+"""Tests of the decoders: whatever comes, a clear refusal or a logged reason."""
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from sequoia_platform.batches import encode_page, read_submission
+from sequoia_platform.engines import PlatformDialect
+from sequoia_platform.entries import PlatformReader
+from sequoia_platform.settings import SettingsError, read_fields, read_settings
+from sequoia_platform.stores import read_rows
+from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.submissions import ItemResult, ItemState
+from sequoia_rollouts.desks import ResultPage
+from sequoia_rollouts.directories import NamedVersion
+from sequoia_rollouts.events import EventReader
+from sequoia_rollouts.stores import Row, RowKey
+from sequoia_wire.messages import AnswerHead, encode_headers
+from sites import make_lot, make_manifest
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers(-9, 9) | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def mutate(document, path, content):
+    """Return a copy of a document with one place changed."""
+    if not path:
+        return content
+    copy = orjson.loads(orjson.dumps(document))
+    place = copy
+    for step in path[:-1]:
+        place = place[step]
+    place[path[-1]] = content
+    return copy
+
+
+def make_row(key, body):
+    return Row(RowKey('t', '', key), 1, body)
+
+
+LOT_PATHS = (
+    (),
+    ('requests',),
+    ('requests', 0),
+    ('requests', 0, 'id'),
+    ('requests', 0, 'headers'),
+    ('requests', 0, 'body'),
+    ('requests', 0, 'scorer'),
+    ('minVersion',),
+    ('step',),
+)
+MANIFEST_PATHS = (
+    (),
+    ('version',),
+    ('routes',),
+    ('routes', 0),
+    ('routes', 0, 'kind'),
+    ('routes', 0, 'timeoutMs'),
+    ('services',),
+    ('services', 0, 'engine'),
+    ('limits',),
+)
+
+
+@given(st.sampled_from(LOT_PATHS), json_values)
+def test_a_submission_is_read_or_refused(path, content):
+    body = orjson.dumps(mutate(make_lot(), path, content))
+    try:
+        read_submission('id', 'host', '/path', body)
+    except ShedError as refusal:
+        assert refusal.code is Code.BAD_REQUEST
+
+
+@given(st.binary(max_size=60))
+def test_bytes_are_no_submission(body):
+    with pytest.raises(ShedError):
+        read_submission('id', 'host', '/path', body)
+
+
+@given(st.sampled_from(MANIFEST_PATHS), json_values)
+def test_a_manifest_is_read_or_left_out(path, content):
+    body = orjson.dumps(mutate(make_manifest(), path, content))
+    PlatformReader().read_operator_row(make_row('config', body))
+
+
+@given(st.binary(max_size=60), st.sampled_from(['config', 'version/m', 'x']))
+def test_unreadable_operator_rows_are_left_out(body, key):
+    assert PlatformReader().read_operator_row(make_row(key, body)) is None
+
+
+@given(json_values, st.sampled_from(['state', 'service', 'address', 'models']))
+def test_an_entry_is_read_or_left_out(content, name):
+    entry = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'slots': 2,
+        'state': 'ready',
+        'models': [],
+    }
+    body = orjson.dumps({**entry, name: content})
+    registration = PlatformReader().read_registration(make_row('i', body))
+    assert registration is None or registration.name == 'i'
+
+
+@given(st.binary(max_size=60))
+def test_a_report_is_read_or_refused(body):
+    with pytest.raises(ShedError):
+        PlatformDialect().read_report(body)
+
+
+@given(json_values)
+def test_rows_of_the_store_are_read_or_refused(content):
+    try:
+        read_rows({'rows': content})
+    except ShedError as refusal:
+        assert refusal.code is Code.STORE_UNAVAILABLE
+
+
+def test_a_named_version_is_read():
+    body = orjson.dumps({'model': 'm', 'version': 4})
+    row = make_row('version/m', body)
+    assert PlatformReader().read_operator_row(row) == NamedVersion('m', 4)
+
+
+@given(st.text(alphabet='0123456789abc-', max_size=5))
+def test_odd_versions_in_a_head_are_no_version(text):
+    head = AnswerHead(200, encode_headers({'weight-versions': text}))
+    version = PlatformDialect().read_labels(head).version
+    assert version is None or str(version) == text.lstrip('0') or not version
+
+
+@given(
+    st.lists(st.tuples(st.integers(1, 99), st.text('abc', max_size=9))),
+    st.lists(st.integers(0, 400)),
+)
+def test_events_are_the_same_however_the_bytes_are_cut(events, cuts):
+    stream = ''.join(
+        f'id: {number}\ndata: {text}\n\n' for number, text in events
+    ).encode()
+    reader = EventReader('weight-versions')
+    found = []
+    places = sorted(
+        {0, len(stream), *(cut % (len(stream) + 1) for cut in cuts)}
+    )
+    for start, end in zip(places, places[1:], strict=False):
+        found.extend(reader.feed(stream[start:end]))
+    assert [(int(one.number), one.text) for one in found] == events
+    assert reader.is_clean
+
+
+def test_results_are_spelled_as_the_platform_wants():
+    outcome = ItemResult('i', ItemState.COMPLETED, 'a\nb', (6, 7), 'stamp')
+    assert orjson.loads(encode_page(ResultPage(9, 3, (outcome,)))) == {
+        'total': 9,
+        'next': 4,
+        'results': [
+            {
+                'id': 'i',
+                'state': 'completed',
+                'text': 'a\nb',
+                'versions': [6, 7],
+                'score': 'stamp',
+            },
+        ],
+    }
+
+
+@given(st.text(max_size=80))
+def test_a_settings_file_never_breaks_the_reader(text):
+    assert isinstance(read_fields(text), dict)
+
+
+def test_a_settings_file_without_a_field_is_refused(tmp_path):
+    path = tmp_path / 'settings'
+    path.write_text('node=a\nzone=z\nunknown=1\n')
+    with pytest.raises(SettingsError):
+        read_settings(path)
+    with pytest.raises(SettingsError):
+        read_settings(tmp_path / 'missing')
--- /dev/null
+++ b/tests/platform_adapter/test_events.py
@@ -0,0 +1,56 @@
+"""Tests that the operators' page lists every event with its fields."""
+
+import importlib
+import re
+from pathlib import Path
+
+from sequoia_wire.logs import EVENTS
+
+ROOT = Path(__file__).parents[2]
+PAGE = ROOT / 'docs' / 'OPERATIONS.md'
+FOLDERS = (
+    ROOT / 'packages' / 'rollouts' / 'sequoia_rollouts',
+    ROOT / 'platform' / 'sequoia_platform',
+)
+
+
+def list_events():
+    """Return the rows that the page should have."""
+    for folder in FOLDERS:
+        for source in sorted(folder.glob('*.py')):
+            importlib.import_module(f'{folder.name}.{source.stem}')
+    return {
+        describe(event)
+        for name, event in EVENTS.items()
+        if not name.startswith('part: ')
+    }
+
+
+def describe(event):
+    fields = ', '.join(event.fields)
+    return f'| `{event.name}` | {event.kind.value} | {fields} |'
+
+
+def test_the_page_lists_every_event_and_no_other():
+    table = PAGE.read_text().partition('## All events')[2]
+    listed = set(re.findall(r'^\| `.*\|$', table, re.MULTILINE))
+    assert listed == list_events()
+
+
+def test_every_line_has_the_fields_of_its_event():
+    for folder in FOLDERS:
+        for source in folder.glob('*.py'):
+            check_calls(source)
+
+
+def check_calls(source):
+    """Compare the keywords of each written event with its declaration."""
+    module = importlib.import_module(f'{source.parent.name}.{source.stem}')
+    calls = re.findall(
+        r'\b([A-Z][A-Z_]+)\.write\(((?:[^()]|\([^()]*\)|\((?:[^()]|\([^()]*\))*\))*)\)',
+        source.read_text(),
+    )
+    for name, arguments in calls:
+        keywords = re.findall(r'(?:^|,)\s*([a-z_]+)=', arguments)
+        event = getattr(module, name)
+        assert tuple(keywords) == event.fields, f'{source.name}: {name}'
