Bound the heartbeats of all hosts together

Cause, computed: 390 hosts that beat every 0.4 s write 975 times a second, above the store's 800; refused heartbeats would have made live hosts look dead. The period now grows beyond 100 hosts (250 beats a second in all), and lease, death and gap are counted in periods; at today's sizes nothing changes.

--- a/packages/policy/sequoia_policy/presences.py
+++ b/packages/policy/sequoia_policy/presences.py
@@ -5,10 +5,11 @@
 
 from attrs import define, field, frozen
 
-HEARTBEAT_PERIOD = timedelta(milliseconds=400)
-DEAD_AFTER = timedelta(milliseconds=1400)
-LEASE = timedelta(milliseconds=1000)  # shorter than DEAD_AFTER
-LONGEST_GAP = timedelta(milliseconds=1200)  # between two reads that count
+SHORTEST_PERIOD = timedelta(milliseconds=400)
+HEARTBEATS_PER_SECOND = 250  # of all hosts together
+PERIODS_TO_DEATH = 3.5
+PERIODS_OF_LEASE = 2.5  # fewer than to death
+PERIODS_OF_GAP = 3.0  # between two reads that count
 FORGET_AFTER = timedelta(seconds=60)
 ADOPTION_STEP = timedelta(milliseconds=200)
 
@@ -47,6 +48,38 @@
     since: timedelta
 
 
+@frozen
+class Timing:
+    """How often hosts show that they live, and how long that holds.
+
+    The more hosts there are the less often each writes, so that the store's
+    rate of writes is not used up by heartbeats.
+    """
+
+    hosts: int = 1
+
+    @property
+    def period(self) -> timedelta:
+        """Time between two heartbeats of a host."""
+        shared = timedelta(seconds=self.hosts / HEARTBEATS_PER_SECOND)
+        return max(SHORTEST_PERIOD, shared)
+
+    @property
+    def dead_after(self) -> timedelta:
+        """Silence after which a host counts as dead."""
+        return self.period * PERIODS_TO_DEATH
+
+    @property
+    def lease(self) -> timedelta:
+        """Time from a heartbeat for which no host can count as dead."""
+        return self.period * PERIODS_OF_LEASE
+
+    @property
+    def longest_gap(self) -> timedelta:
+        """Time between two reads that count as one span."""
+        return self.period * PERIODS_OF_GAP
+
+
 def name_owner(host: str, boot: str) -> str:
     """Return the name of one process of a host."""
     return f'{host}/{boot}'
@@ -63,9 +96,17 @@
     sightings: dict[str, Sighting] = field(factory=dict)
     last_read: timedelta | None = None
 
+    @property
+    def timing(self) -> Timing:
+        """How often heartbeats come with as many hosts as are known."""
+        return Timing(len(self.sightings))
+
     def update(self, heartbeats: Iterable[Heartbeat], now: timedelta) -> None:
         """Take a whole reading of the table."""
-        if self.last_read is None or now - self.last_read > LONGEST_GAP:
+        if (
+            self.last_read is None
+            or now - self.last_read > self.timing.longest_gap
+        ):
             self.restart(now)
         self.last_read = now
         for heartbeat in heartbeats:
@@ -92,7 +133,7 @@
             return self.last_read is not None
         if sighting.heartbeat.owner != owner:
             return True
-        return now - sighting.since > DEAD_AFTER
+        return now - sighting.since > self.timing.dead_after
 
     def live_owners(self, now: timedelta) -> list[str]:
         """Return the processes that live and are not about to stop."""
@@ -100,7 +141,7 @@
             sighting.heartbeat.owner
             for sighting in self.sightings.values()
             if not sighting.heartbeat.draining
-            and now - sighting.since <= DEAD_AFTER
+            and now - sighting.since <= self.timing.dead_after
         ]
 
     def forget(self, host: str) -> None:
--- a/packages/policy/tests/test_presences.py
+++ b/packages/policy/tests/test_presences.py
@@ -5,13 +5,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from sequoia_policy.presences import (
-    DEAD_AFTER,
-    LEASE,
-    LONGEST_GAP,
+    HEARTBEATS_PER_SECOND,
     Heartbeat,
     PresenceTable,
+    Timing,
 )
 
+DEAD_AFTER = Timing().dead_after
+LONGEST_GAP = Timing().longest_gap
+
 STEP = timedelta(milliseconds=400)
 START = timedelta(seconds=50)
 
@@ -37,8 +39,20 @@
     assert table.is_dead('h1/b1', now + timedelta(milliseconds=1))
 
 
-def test_the_lease_ends_before_others_think_that_the_host_is_dead():
-    assert LEASE < DEAD_AFTER
+@given(st.integers(1, 2000))
+def test_the_lease_ends_before_others_think_that_the_host_is_dead(hosts):
+    timing = Timing(hosts)
+    assert timing.period < timing.lease < timing.dead_after
+
+
+@given(st.integers(100, 2000))
+def test_many_hosts_leave_the_store_its_writes(hosts):
+    beats = hosts / Timing(hosts).period.total_seconds()
+    assert round(beats) <= HEARTBEATS_PER_SECOND
+
+
+def test_a_site_of_today_finds_a_dead_host_in_less_than_two_seconds():
+    assert Timing(11).dead_after < timedelta(seconds=2)
 
 
 def test_an_earlier_boot_is_dead_at_once():
--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/heartbeats.py
@@ -8,8 +8,6 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ShedError
 from sequoia_policy.presences import (
-    HEARTBEAT_PERIOD,
-    LEASE,
     Heartbeat,
     PresenceTable,
 )
@@ -71,7 +69,7 @@
         """Tell whether no other host can think that this one is dead."""
         if self.renewed is None:
             return False
-        return self.clock.elapsed() - self.renewed < LEASE
+        return self.clock.elapsed() - self.renewed < self.presences.timing.lease
 
     def is_dead(self, owner: str) -> bool:
         """Tell whether the process called ``owner`` lives no more."""
@@ -129,5 +127,5 @@
             await action()  # type: ignore[operator]
         except ShedError as failure:
             HEARTBEAT_MISSED.write(detail=failure.detail)
-        left = HEARTBEAT_PERIOD - (self.clock.elapsed() - started)
+        left = self.presences.timing.period - (self.clock.elapsed() - started)
         await curio.sleep(max(0, left.total_seconds()))
