--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -17,6 +17,7 @@
 )
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
+from sequoia_wire.spans import seconds_of
 
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.generations import (
@@ -25,7 +26,6 @@
     RunEnd,
     RunEndedError,
 )
-from sequoia_rollouts.live import seconds_of
 from sequoia_rollouts.placers import EngineNeed, Placer
 from sequoia_rollouts.recorders import Recorder
 from sequoia_rollouts.rewards import NoRewardError, RewardCaller
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -4,19 +4,21 @@
 from datetime import timedelta
 
 import curio
-from attrs import define, field, frozen
+from attrs import define, field
 from sequoia_policy.budgets import RetryBudget
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.fleets import FleetTarget, choose_of_two, keep_near
-from sequoia_policy.retries import AttemptFacts, find_retry_refusal
+from sequoia_policy.retries import find_retry_refusal
 from sequoia_policy.routing import Route
-from sequoia_policy.verdicts import Verdict, merge_verdicts
+from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Answer
+from sequoia_wire.spans import seconds_of
 
 from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.senders import LabelledAnswer, Outgoing, Sender
+from sequoia_rollouts.live_attempts import LiveAttempts, LiveRequest
+from sequoia_rollouts.senders import LabelledAnswer, Sender
 
 FIRST_ERROR = 500
 MOST_REFUSALS = 12  # answers "not run" that one request takes
@@ -52,68 +54,6 @@
 )
 
 
-@frozen
-class LiveRequest:
-    """A request of a caller that waits for its answer.
-
-    Attributes:
-        outgoing: What goes to the target.
-        host: Host that selects the route.
-        path: Path that selects the route.
-        arrived: When its head was read.
-        time_limit: How long the caller waits; None if it does not say.
-    """
-
-    outgoing: Outgoing
-    host: str
-    path: str
-    arrived: timedelta
-    time_limit: timedelta | None = None
-
-
-@define
-class LiveAttempts:
-    """What was tried for one request.
-
-    Attributes:
-        service: Service that the request goes to.
-        count: Attempts that may have run.
-        refusals: Attempts that did not run.
-        target: Name of the target of the newest attempt.
-    """
-
-    request: LiveRequest
-    route: Route
-    service: str
-    end: timedelta
-    count: int = 0
-    refusals: int = 0
-    target: str = ''
-    verdict: Verdict = Verdict.NOT_RUN
-    tried: set[str] = field(factory=set)
-
-    def note_failure(self, target: FleetTarget, failure: ShedError) -> None:
-        """Count an attempt that ended without an answer."""
-        self.tried.add(target.name)
-        self.verdict = merge_verdicts(self.verdict, failure.verdict)
-        if failure.verdict is Verdict.NOT_RUN:
-            self.refusals += 1
-        else:
-            self.count += 1
-
-    def make_facts(self, now: timedelta) -> AttemptFacts:
-        """Return what decides whether to try again."""
-        return AttemptFacts(
-            idempotent=self.route.may_repeat,
-            attempts=self.count,
-            max_attempts=self.route.max_attempts,
-            verdict=self.verdict,
-            answer_started=False,
-            resumable=False,
-            remaining=self.end - now,
-        )
-
-
 @define
 class LivePath:
     """Answers live requests with the answers of targets."""
@@ -343,8 +283,3 @@
             left=(attempts.end - self.clock.elapsed()).total_seconds(),
             targets_age=seconds_of(self.directory.targets.age()),
         )
-
-
-def seconds_of(age: timedelta | None) -> float | None:
-    """Return an age in seconds, None if it is unknown."""
-    return None if age is None else age.total_seconds()
--- a/tests/platform_adapter/conftest.py
+++ b/packages/rollouts/tests/conftest.py
@@ -6,4 +6,4 @@
 HERE = Path(__file__).parent
 
 sys.path.insert(0, str(HERE))
-sys.path.insert(1, str(HERE.parents[1] / 'platform'))
+sys.path.insert(1, str(HERE.parents[2] / 'platform'))
--- a/tests/platform_adapter/test_boundary.py
+++ b/packages/rollouts/tests/test_boundary.py
@@ -3,7 +3,7 @@
 import re
 from pathlib import Path
 
-ROOT = Path(__file__).parents[2]
+ROOT = Path(__file__).parents[3]
 NAMES = re.compile(
     '|'.join(
         (
--- a/tests/platform_adapter/test_events.py
+++ b/packages/rollouts/tests/test_events.py
@@ -6,7 +6,7 @@
 
 from sequoia_wire.logs import EVENTS
 
-ROOT = Path(__file__).parents[2]
+ROOT = Path(__file__).parents[3]
 PAGE = ROOT / 'docs' / 'OPERATIONS.md'
 FOLDERS = (
     ROOT / 'packages' / 'rollouts' / 'sequoia_rollouts',
