Wait for the store's process before a test publishes its plan

The harness waited for the hosts list and the hosts, not for the process of the store, which starts apart. Shown by a new test that starts the platform 2 s late. Ruled out: the product, which refused truly.

--- a/packages/standins/sequoia_standins/experiments.py
+++ b/packages/standins/sequoia_standins/experiments.py
@@ -10,7 +10,7 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.messages import Address, RequestHead
 from sequoia_wire.operations import HostStatus
-from sequoia_wire.platform import HostsList, ListedHost
+from sequoia_wire.platform import HostsList, ListedHost, TableQuery
 from sequoiactl.clients import AdminClient
 
 from sequoia_standins.deployments import (
@@ -145,6 +145,7 @@
             plan_text: The plan; by default the example of the shape.
         """
         await self.list_hosts(self.layout.hosts)
+        await self.wait_store()
         await self.wait_started()
         text = plan_text or self.layout.shape.plan_file.read_text()
         client = self.operator('platform')
@@ -152,6 +153,11 @@
         await self.wait_ready(accepted.number)
         return accepted.number
 
+    async def wait_store(self) -> None:
+        """Wait until the store's process answers."""
+        query = encode(TableQuery())
+        await self.post(self.layout.platform.store, '/table/read', query)
+
     async def post(self, address: Address, path: str, body: bytes) -> bytes:
         """Send a POST until the process answers."""
         for _ in range(round(START_SECONDS / POLL_SECONDS)):
--- a/packages/standins/tests/test_deployments.py
+++ b/packages/standins/tests/test_deployments.py
@@ -95,6 +95,23 @@
         curio.run(drain_one, group, layout)
 
 
+async def publish_before_the_store(group, layout):
+    """Publish while the store's process has not started yet."""
+    publishing = await curio.spawn(Deployment(layout).publish_plan)
+    await curio.sleep(2)
+    start_platform(group, layout)
+    return await publishing.join()
+
+
+def test_a_plan_is_published_once_the_store_has_started(tmp_path):
+    layout = make_layout(evolve(TAMSUI, hosts=1, engines=1, plain_targets=1))
+    with ProcessGroup(tmp_path) as group:
+        for target in layout.targets:
+            start_target(group, layout, target)
+        start_host(group, layout, layout.hosts[0])
+        assert curio.run(publish_before_the_store, group, layout) > 0
+
+
 async def drain_with_streams(group, layout, second_signal):
     """Drain the only host with streams of seconds and the platform away."""
     deployment = Deployment(layout)
