--- a/packages/standins/sequoia_standins/processes.py
+++ b/packages/standins/sequoia_standins/processes.py
@@ -85,8 +85,8 @@
         return self.processes[name].wait(seconds)
 
 
-def start_platform(group: ProcessGroup, layout: Layout) -> None:
-    """Start the stand-ins of the platform."""
+def start_store(group: ProcessGroup, layout: Layout) -> None:
+    """Start the stand-in of the store."""
     group.start(
         'store',
         STANDIN,
@@ -94,6 +94,11 @@
         ADDRESS,
         str(layout.platform.store),
     )
+
+
+def start_platform(group: ProcessGroup, layout: Layout) -> None:
+    """Start the stand-ins of the platform."""
+    start_store(group, layout)
     group.start(
         'hosts',
         STANDIN,
--- a/packages/standins/tests/test_deployments.py
+++ b/packages/standins/tests/test_deployments.py
@@ -27,6 +27,7 @@
     start_all,
     start_host,
     start_platform,
+    start_store,
     start_target,
 )
 from sequoia_wire.messages import RequestHead
@@ -98,14 +99,16 @@
 async def publish_before_the_store(group, layout):
     """Publish while the store's process has not started yet."""
     publishing = await curio.spawn(Deployment(layout).publish_plan)
-    await curio.sleep(2)
-    start_platform(group, layout)
+    await curio.sleep(4)
+    start_store(group, layout)
     return await publishing.join()
 
 
 def test_a_plan_is_published_once_the_store_has_started(tmp_path):
     layout = make_layout(evolve(TAMSUI, hosts=1, engines=1, plain_targets=1))
     with ProcessGroup(tmp_path) as group:
+        start_platform(group, layout)
+        group.kill('store')
         for target in layout.targets:
             start_target(group, layout, target)
         start_host(group, layout, layout.hosts[0])
