Pass live streams on event by event, and resume them

Cause: routes of kind `streaming` were answered whole: the caller saw its first event when the last was made, a stream that broke off was lost, and a rollout's items came before a live stream at an engine.

Now the relay passes on each whole event with the bytes of the engine as it comes. Where the route is resumable it goes on at another engine after the last event that the caller has, keeps the head of the first engine and names a changed weight version at the first resumed event; elsewhere a stream that breaks off is cut, so that it never looks whole. Live streams ask for a rank of at most 4, before items. A client's own Last-Event-Id is replaced when the stream goes on, not sent twice.

The live path is split by job: choosing and learning (`live_targets`), retries (`live_retries`), streams (`live_streams`); the pace of a stream is measured by one class for items and live streams.

Measured on the stand-ins only; neither site has a streaming route.

--- a/packages/rollouts/sequoia_rollouts/dialects.py
+++ b/packages/rollouts/sequoia_rollouts/dialects.py
@@ -17,12 +17,15 @@
         target: Name of the target that is meant.
         time_left: How long the caller still waits; None if it does not say.
         resume_after: Id of the last event that was received; empty to start.
+        priority: Rank among the requests of an engine, 0 first; None if the
+            engine's usual rank holds.
     """
 
     request_id: str
     target: str
     time_left: timedelta | None = None
     resume_after: str = ''
+    priority: int | None = None
 
 
 @frozen
--- a/packages/rollouts/sequoia_rollouts/events.py
+++ b/packages/rollouts/sequoia_rollouts/events.py
@@ -1,8 +1,10 @@
 """Reads a stream of server-sent events, whole events only."""
 
-from attrs import define, frozen
+import re
 
-BLANK = b'\n\n'
+from attrs import define, field, frozen
+
+END_OF_EVENT = re.compile(rb'\r?\n\r?\n')
 
 
 @frozen
@@ -12,11 +14,13 @@
     Attributes:
         number: Its id.
         version: Weight version from this event on; None if unchanged.
+        raw: Its bytes as they were received, with its end.
     """
 
     number: str
     text: str
     version: int | None = None
+    raw: bytes = field(default=b'', eq=False, repr=False)
 
 
 @define
@@ -32,22 +36,26 @@
         Raises:
             ValueError: If an event cannot be read.
         """
-        self.pending += received.replace(b'\r\n', b'\n')
-        pieces = self.pending.split(BLANK)
-        self.pending = pieces.pop()
-        return [self._read(whole) for whole in pieces if whole.strip()]
+        self.pending += received
+        whole = []
+        start = 0
+        for end in END_OF_EVENT.finditer(self.pending):
+            whole.append(self.pending[start : end.end()])
+            start = end.end()
+        self.pending = self.pending[start:]
+        return [self._read(raw) for raw in whole if raw.strip()]
 
     @property
     def is_clean(self) -> bool:
         """Whether no part of an event is left over."""
         return not self.pending.strip()
 
-    def _read(self, whole: bytes) -> StreamEvent:
+    def _read(self, raw: bytes) -> StreamEvent:
         number = ''
         texts = []
         version = None
-        for line in whole.decode().split('\n'):
-            name, _colon, padded = line.partition(':')
+        for line in raw.decode().split('\n'):
+            name, _colon, padded = line.rstrip('\r').partition(':')
             content = padded.removeprefix(' ')
             if name == 'id':
                 number = content
@@ -55,4 +63,4 @@
                 texts.append(content)
             elif name == self.version_field:
                 version = int(content)
-        return StreamEvent(number, '\n'.join(texts), version)
+        return StreamEvent(number, '\n'.join(texts), version, raw)
--- a/packages/rollouts/sequoia_rollouts/generations.py
+++ b/packages/rollouts/sequoia_rollouts/generations.py
@@ -15,13 +15,10 @@
 
 from sequoia_rollouts.dialects import CallLabels
 from sequoia_rollouts.events import EventReader, StreamEvent
+from sequoia_rollouts.paces import PaceMeter, find_gap_patience
 from sequoia_rollouts.senders import CONNECT_PATIENCE, Outgoing, Sender
 
-EVENTS_BEFORE_MOVE = 4  # over which the pace of a run is measured
 FIRST_PATIENCE = timedelta(seconds=3)  # for the first event
-USUAL_GAP_PATIENCE = timedelta(milliseconds=2400)  # if no pace is known
-SHORTEST_GAP_PATIENCE = timedelta(milliseconds=1200)
-PACES_PER_GAP = 10  # usual times between events that one gap may last
 OK = 200
 FAILED = 500
 IMPOSSIBLE = 422
@@ -121,7 +118,7 @@
             await self._start(call, generation, target)
             call.patience = Patience(
                 CONNECT_PATIENCE,
-                self._find_gap_patience(target),
+                find_gap_patience(target, self.clock.elapsed()),
             )
             await self._read_stream(call, generation, target)
 
@@ -144,16 +141,6 @@
         if version is not None:
             self._take_version(generation, target, version)
 
-    def _find_gap_patience(self, target: FleetTarget) -> timedelta:
-        """Return how long an engine may be silent between two events."""
-        pace = target.known_seconds(self.clock.elapsed())
-        if pace is None:
-            return USUAL_GAP_PATIENCE
-        return max(
-            SHORTEST_GAP_PATIENCE,
-            timedelta(seconds=pace * PACES_PER_GAP),
-        )
-
     async def _refuse(self, call: Call, head: AnswerHead) -> None:
         """Raise what an answer without a stream means."""
         await call.read_body()
@@ -186,32 +173,20 @@
         target: FleetTarget,
     ) -> None:
         reader = EventReader(self.sender.dialect.version_field)
-        began = self.clock.elapsed()
-        before = len(generation.texts)
+        meter = PaceMeter(target, self.clock.elapsed())
         chunk = await call.read_chunk()
         while chunk:
+            before = len(generation.texts)
             self._take_chunk(reader, chunk, generation, target)
             made = len(generation.texts) - before
-            if made >= EVENTS_BEFORE_MOVE:
-                self._measure(target, began, made)
-                began = self.clock.elapsed()
-                before = len(generation.texts)
-                if self.finds_faster(target):
-                    raise RunEndedError(RunEnd.MOVED)
+            measured = meter.count(made, self.clock.elapsed())
+            if measured and self.finds_faster(target):
+                raise RunEndedError(RunEnd.MOVED)
             chunk = await call.read_chunk()
         if not reader.is_clean or not generation.texts:
             raise ShedError(Code.TARGET_BROKE, 'the stream is not whole')
         generation.done = True
 
-    def _measure(
-        self,
-        target: FleetTarget,
-        began: timedelta,
-        made: int,
-    ) -> None:
-        now = self.clock.elapsed()
-        target.record_duration((now - began).total_seconds() / made, now)
-
     def _take_chunk(
         self,
         reader: EventReader,
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -3,30 +3,29 @@
 import random
 from datetime import timedelta
 
-import curio
 from attrs import define, field
-from sequoia_policy.budgets import RetryBudget
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
-from sequoia_policy.fleets import FleetTarget, choose_of_two, keep_near
-from sequoia_policy.retries import find_retry_refusal
+from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.routing import Route
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Answer
-from sequoia_wire.spans import seconds_of
 
 from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.live_attempts import LiveAttempts, LiveRequest
+from sequoia_rollouts.live_attempts import (
+    RETRY_AFTER,
+    LiveAttempts,
+    LiveRequest,
+)
+from sequoia_rollouts.live_retries import LiveRetries
+from sequoia_rollouts.live_streams import AnswerSink, LiveStream, StreamRelay
+from sequoia_rollouts.live_targets import LiveTargets
 from sequoia_rollouts.senders import LabelledAnswer, Sender
 
 FIRST_ERROR = 500
-MOST_REFUSALS = 12  # answers "not run" that one request takes
-REFUSAL_PAUSE = timedelta(milliseconds=15)
 OBJECTIVES_BEFORE_RESEND = 2.0  # time of an attempt that has a successor
 SHORTEST_ATTEMPT = timedelta(milliseconds=250)
-RETRY_AFTER = timedelta(milliseconds=300)
-RETRY_SHARE = 0.2  # retries a request
 
 log = Log('live')
 REQUEST_ANSWERED = log.event(
@@ -40,18 +39,6 @@
     'config_version',
     kind=LogKind.SUCCESS,
 )
-ATTEMPT_FAILED = log.event(
-    'attempt failed',
-    'request_id',
-    'target',
-    'code',
-    'verdict',
-    'attempts',
-    'refusals',
-    'left',
-    'targets_age',
-    kind=LogKind.FAILURE,
-)
 
 
 @define
@@ -63,7 +50,25 @@
     sender: Sender
     chance: random.Random
     domain: str
-    budget: RetryBudget = field(factory=lambda: RetryBudget(RETRY_SHARE))
+    targets: LiveTargets = field(init=False)
+    retries: LiveRetries = field(init=False)
+    relay: StreamRelay = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the parts that decide."""
+        self.targets = LiveTargets(
+            self.clock,
+            self.directory,
+            self.chance,
+            self.domain,
+        )
+        self.retries = LiveRetries(self.clock)
+        self.relay = StreamRelay(
+            self.clock,
+            self.sender,
+            self.targets,
+            self.retries,
+        )
 
     def find_route(self, host: str, path: str) -> Route:
         """Return the route of a host and path.
@@ -86,72 +91,53 @@
             ShedError: If no target answered; its verdict says whether the
                 request may have run.
         """
+        attempts = self._begin(request)
+        while True:
+            answer = await self._try_once(attempts)
+            if answer is not None:
+                self._log_answer(attempts, answer)
+                return answer
+
+    async def stream(
+        self,
+        request: LiveRequest,
+        sink: AnswerSink,
+    ) -> Answer | None:
+        """Pass a target's stream on to a caller as it comes.
+
+        Returns:
+            An answer that is no stream and was not passed on, or None.
+
+        Raises:
+            ShedError: If the stream could not be passed on whole.
+        """
+        stream = LiveStream(self._begin(request), sink, request.resume_after)
+        return await self.relay.run(stream)
+
+    def _begin(self, request: LiveRequest) -> LiveAttempts:
         route = self.find_route(request.host, request.path)
         limit = route.timeout
         if request.time_limit is not None:
             limit = min(limit, request.time_limit)
-        attempts = LiveAttempts(
+        self.retries.budget.record_request()
+        return LiveAttempts(
             request,
             route,
             route.choose_service(self.chance),
             request.arrived + limit,
         )
-        self.budget.record_request()
-        while True:
-            answer = await self._try_once(attempts)
-            if answer is not None:
-                self._log_answer(attempts, answer)
-                return answer
 
     async def _try_once(self, attempts: LiveAttempts) -> Answer | None:
-        target = self._choose(attempts)
-        attempts.target = target.name
+        target = self.targets.choose(attempts)
         try:
             labelled = await self._send(attempts, target)
         except ShedError as failure:
-            self._learn_failure(target, failure)
-            attempts.note_failure(target, failure)
-            self._log_failure(attempts, target, failure)
-            self._check_retry(attempts, failure)
-            await self._pause(attempts, failure)
+            self.targets.take_failure(attempts, target, failure)
+            self.retries.check(attempts, failure)
+            await self.targets.pause(attempts, failure)
             return None
         return self._take_answer(attempts, target, labelled)
 
-    def _choose(self, attempts: LiveAttempts) -> FleetTarget:
-        now = self.clock.elapsed()
-        usable = self.directory.fleet.usable(attempts.service, now)
-        if not usable:
-            usable = self._find_paused(attempts.service)
-        if not usable:
-            raise self._refuse(attempts, now)
-        fresh = [one for one in usable if one.name not in attempts.tried]
-        near = keep_near(fresh or usable, self.domain, now)
-        return choose_of_two(near, now, self.chance)
-
-    def _find_paused(self, service: str) -> list[FleetTarget]:
-        """Return the targets that failed but can be reached."""
-        found = self.directory.fleet.find(service)
-        return [
-            one
-            for one in found
-            if not one.registration.leaving and not one.unreachable
-        ]
-
-    def _refuse(self, attempts: LiveAttempts, now: timedelta) -> ShedError:
-        """Return the refusal when no target can be reached.
-
-        The caller may come back when the first target is tried again.
-        """
-        found = self.directory.fleet.find(attempts.service)
-        pauses = [one.paused_until - now for one in found]
-        soonest = min(pauses, default=RETRY_AFTER)
-        return ShedError(
-            Code.NO_TARGET,
-            attempts.service,
-            verdict=attempts.verdict,
-            retry_after=max(RETRY_AFTER, soonest),
-        )
-
     async def _send(
         self,
         attempts: LiveAttempts,
@@ -160,7 +146,7 @@
         now = self.clock.elapsed()
         left = attempts.end - now
         patience = left
-        if attempts.count + 1 < attempts.route.max_attempts:
+        if attempts.has_successor:
             objective = attempts.route.objective * OBJECTIVES_BEFORE_RESEND
             patience = min(left, max(SHORTEST_ATTEMPT, objective))
         target.running += 1
@@ -201,58 +187,7 @@
             verdict=Verdict.RAN,
         )
         attempts.note_failure(target, failed)
-        facts = attempts.make_facts(self.clock.elapsed())
-        if find_retry_refusal(facts, failed.code, self.budget):
-            return answer
-        return None
-
-    def _learn_failure(self, target: FleetTarget, failure: ShedError) -> None:
-        now = self.clock.elapsed()
-        if failure.code is Code.MISPLACED:
-            self.directory.fleet.remove(target.name, now, timedelta())
-        elif failure.code is Code.CONNECT_FAILED:
-            target.record_unreachable(now)
-        elif failure.code is not Code.TARGET_REFUSED:
-            target.record_failure(now)
-
-    def _check_retry(self, attempts: LiveAttempts, failure: ShedError) -> None:
-        """Raise the failure unless the request may be tried again."""
-        if attempts.refusals > MOST_REFUSALS:
-            raise self._give_up(attempts, failure)
-        facts = attempts.make_facts(self.clock.elapsed())
-        if failure.verdict is Verdict.NOT_RUN and facts.is_safe:
-            if facts.remaining > REFUSAL_PAUSE:
-                return
-        if find_retry_refusal(facts, failure.code, self.budget):
-            raise self._give_up(attempts, failure)
-
-    def _give_up(
-        self,
-        attempts: LiveAttempts,
-        failure: ShedError,
-    ) -> ShedError:
-        code = failure.code
-        if attempts.verdict is not Verdict.NOT_RUN:
-            code = Code.TARGET_BROKE
-            if self.clock.elapsed() >= attempts.end - REFUSAL_PAUSE:
-                code = Code.DEADLINE
-        elif code is not Code.DEADLINE:
-            code = Code.OVERLOADED
-        return ShedError(
-            code,
-            failure.detail,
-            verdict=attempts.verdict,
-            retry_after=RETRY_AFTER,
-        )
-
-    async def _pause(self, attempts: LiveAttempts, failure: ShedError) -> None:
-        """Wait a little before a target that just refused is asked again."""
-        if failure.code is not Code.TARGET_REFUSED:
-            return
-        service = self.directory.fleet.find(attempts.service)
-        if {one.name for one in service} <= attempts.tried:
-            attempts.tried.clear()
-            await curio.sleep(REFUSAL_PAUSE.total_seconds())
+        return None if self.retries.allows(attempts, failed) else answer
 
     def _log_answer(self, attempts: LiveAttempts, answer: Answer) -> None:
         request = attempts.request
@@ -266,20 +201,3 @@
             seconds=took.total_seconds(),
             config_version=self.directory.configuration.version,
         )
-
-    def _log_failure(
-        self,
-        attempts: LiveAttempts,
-        target: FleetTarget,
-        failure: ShedError,
-    ) -> None:
-        ATTEMPT_FAILED.write(
-            request_id=attempts.request.outgoing.id,
-            target=target.name,
-            code=failure.code.value.label,
-            verdict=failure.verdict.value,
-            attempts=attempts.count,
-            refusals=attempts.refusals,
-            left=(attempts.end - self.clock.elapsed()).total_seconds(),
-            targets_age=seconds_of(self.directory.targets.age()),
-        )
--- a/packages/rollouts/sequoia_rollouts/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live_attempts.py
@@ -11,6 +11,8 @@
 
 from sequoia_rollouts.senders import Outgoing
 
+RETRY_AFTER = timedelta(milliseconds=300)
+
 
 @frozen
 class LiveRequest:
@@ -22,6 +24,7 @@
         path: Path that selects the route.
         arrived: When its head was read.
         time_limit: How long the caller waits; None if it does not say.
+        resume_after: Id of the last event of the stream that the caller has.
     """
 
     outgoing: Outgoing
@@ -29,6 +32,7 @@
     path: str
     arrived: timedelta
     time_limit: timedelta | None = None
+    resume_after: str = ''
 
 
 @define
@@ -40,6 +44,7 @@
         count: Attempts that may have run.
         refusals: Attempts that did not run.
         target: Name of the target of the newest attempt.
+        started: Whether a part of the answer left for the caller.
     """
 
     request: LiveRequest
@@ -49,9 +54,17 @@
     count: int = 0
     refusals: int = 0
     target: str = ''
+    started: bool = False
     verdict: Verdict = Verdict.NOT_RUN
     tried: set[str] = field(factory=set)
 
+    @property
+    def has_successor(self) -> bool:
+        """Whether another attempt may follow the one under way."""
+        return (
+            self.route.may_repeat and self.count + 1 < self.route.max_attempts
+        )
+
     def note_failure(self, target: FleetTarget, failure: ShedError) -> None:
         """Count an attempt that ended without an answer."""
         self.tried.add(target.name)
@@ -68,7 +81,7 @@
             attempts=self.count,
             max_attempts=self.route.max_attempts,
             verdict=self.verdict,
-            answer_started=False,
-            resumable=False,
+            answer_started=self.started,
+            resumable=self.route.resumable,
             remaining=self.end - now,
         )
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/live_retries.py
@@ -0,0 +1,60 @@
+"""Decides whether a live request is tried again, or how it ends."""
+
+from datetime import timedelta
+
+from attrs import field, frozen
+from sequoia_policy.budgets import RetryBudget
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.retries import find_retry_refusal
+from sequoia_policy.verdicts import Verdict
+
+from sequoia_rollouts.live_attempts import RETRY_AFTER, LiveAttempts
+
+MOST_REFUSALS = 12  # answers "not run" that one request takes
+LEAST_LEFT = timedelta(milliseconds=15)  # that another attempt needs
+RETRY_SHARE = 0.2  # retries a request
+
+
+@frozen
+class LiveRetries:
+    """Bounds the attempts of live requests."""
+
+    clock: Clock
+    budget: RetryBudget = field(factory=lambda: RetryBudget(RETRY_SHARE))
+
+    def check(self, attempts: LiveAttempts, failure: ShedError) -> None:
+        """Raise how the request ends unless it may be tried again."""
+        if attempts.refusals > MOST_REFUSALS:
+            raise self.give_up(attempts, failure)
+        facts = attempts.make_facts(self.clock.elapsed())
+        if failure.verdict is Verdict.NOT_RUN and facts.is_safe:
+            if facts.remaining > LEAST_LEFT:
+                return
+        if find_retry_refusal(facts, failure.code, self.budget):
+            raise self.give_up(attempts, failure)
+
+    def allows(self, attempts: LiveAttempts, failure: ShedError) -> bool:
+        """Tell whether a failure that a target answered is tried again."""
+        facts = attempts.make_facts(self.clock.elapsed())
+        return find_retry_refusal(facts, failure.code, self.budget) is None
+
+    def give_up(
+        self,
+        attempts: LiveAttempts,
+        failure: ShedError,
+    ) -> ShedError:
+        """Return how a request ends after its last failure."""
+        code = failure.code
+        if attempts.verdict is not Verdict.NOT_RUN:
+            code = Code.TARGET_BROKE
+            if self.clock.elapsed() >= attempts.end - LEAST_LEFT:
+                code = Code.DEADLINE
+        elif code is not Code.DEADLINE:
+            code = Code.OVERLOADED
+        return ShedError(
+            code,
+            failure.detail,
+            verdict=attempts.verdict,
+            retry_after=RETRY_AFTER,
+        )
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -106,10 +106,16 @@
             ShedError: If the target refused it, or answered another request.
         """
         added = self.dialect.label(labels)
+        set_here = {name for name, _text in added}
+        kept = [
+            header
+            for header in strip_own_headers(outgoing.head.headers)
+            if header[0] not in set_here
+        ]
         head = RequestHead(
             outgoing.head.method,
             outgoing.head.target,
-            (*strip_own_headers(outgoing.head.headers), *added),
+            (*kept, *added),
         )
         answer = await call.send(head, outgoing.body)
         read = self.dialect.read_labels(answer)
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -19,6 +19,8 @@
         words: Number of events of a whole stream.
         pace: Seconds an event.
         break_after: Events after which the next stream breaks off.
+        silent_after: Events after which the next stream falls silent.
+        ranks: Priorities that requests asked for.
         fail: Number of requests that are answered 500.
         refuse: Number of requests that are refused as not run.
         late_orders: Number of orders that get no answer, and are carried out.
@@ -31,11 +33,13 @@
     pace: float = 0.005
     version: int = 1
     break_after: int = 0
+    silent_after: int = 0
     fail: int = 0
     refuse: int = 0
     late_orders: int = 0
     wrong_ids: int = 0
     runs: list = field(factory=list)
+    ranks: list = field(factory=list)
     orders: list = field(factory=list)
     fence: int = 0
     seq: int = 0
@@ -119,7 +123,9 @@
             self.fail -= 1
             await exchange.answer(500, headers=self.stamp(request_id))
             return
+        self.ranks.append(exchange.head.header('request-priority'))
         limit, self.break_after = self.break_after, 0
+        silent, self.silent_after = self.silent_after, 0
         await exchange.start(
             200,
             (
@@ -133,6 +139,8 @@
             if limit and number > limit:
                 await exchange.send(b'id: 99\ndata: ha')
                 raise ConnectionAbortedError('broken off')
+            if silent and number > silent:
+                await self.wait_for_end(exchange)
             change = ''
             if version != self.version:
                 version = self.version
@@ -141,6 +149,10 @@
             await exchange.send(event.encode())
         await exchange.finish()
 
+    async def wait_for_end(self, exchange):
+        await exchange.sock.recv(1)
+        raise ConnectionAbortedError('the host has left')
+
     def stamp(self, request_id):
         if self.wrong_ids:
             self.wrong_ids -= 1
--- /dev/null
+++ b/packages/rollouts/tests/test_streams.py
@@ -0,0 +1,323 @@
+"""Tests of live streams, passed on event by event and resumed."""
+
+from datetime import timedelta
+
+import curio
+from engine_standin import SERVICE
+from sequoia_policy.errors import ShedError
+from sequoia_wire.messages import RequestHead, encode_headers
+from sites import AUTHORITY, PATIENCE, make_manifest, open_site, wait_until
+
+WHOLE = ''.join(
+    f'id: {number}\ndata: s1-{number}\n\n' for number in (1, 2, 3)
+).encode()
+
+
+def make_streaming_manifest(**changes):
+    manifest = make_manifest(version=4)
+    route = {
+        'name': 'chat',
+        'host': AUTHORITY,
+        'pathPrefix': '/chat/',
+        'kind': 'streaming',
+        'service': SERVICE,
+        'timeoutMs': 4000,
+        'targetLatencyMs': 300,
+        'maxAttempts': 3,
+        **changes,
+    }
+    manifest['routes'].append(route)
+    return manifest
+
+
+async def open_streams(site, **changes):
+    site.store.put('op', 'config', make_streaming_manifest(**changes))
+    host = site.hosts[0]
+    await wait_until(lambda: host.directory.configuration.version == 4)
+    return host
+
+
+def list_runs(site):
+    return [run for engine in site.engines for run in engine.runs]
+
+
+def change_others(site, **changes):
+    """Change the engines that run nothing; they end no stream early."""
+    for engine in site.engines:
+        if not engine.runs:
+            engine.break_after = 0
+            for name, setting in changes.items():
+                setattr(engine, name, setting)
+
+
+def open_call(site, host):
+    return site.client.call(host.front.address, PATIENCE)
+
+
+async def start_stream(call, **headers):
+    texts = {'host': AUTHORITY, 'attempt-id': 's1', 'deadline-ms': '3000'}
+    texts.update(
+        {name.replace('_', '-'): text for name, text in headers.items()},
+    )
+    head = RequestHead('POST', '/chat/a', encode_headers(texts))
+    return await call.send(head, b'prompt')
+
+
+async def read_chunks(call):
+    chunks = []
+    chunk = await call.read_chunk()
+    while chunk:
+        chunks.append(chunk)
+        chunk = await call.read_chunk()
+    return chunks
+
+
+async def read_until_cut(call):
+    """Return the chunks of a stream and why it was cut off."""
+    chunks = []
+    try:
+        while not chunks or chunks[-1]:
+            chunks.append(await call.read_chunk())
+    except ShedError as error:
+        return chunks, str(error)
+    return chunks, ''
+
+
+async def fetch_stream(site, host, **headers):
+    async with open_call(site, host) as call:
+        head = await start_stream(call, **headers)
+        chunks = await read_chunks(call)
+    return head, chunks
+
+
+def test_events_are_passed_on_as_they_come_with_the_head_of_the_engine():
+    async def main():
+        async with open_site(pace=0.3) as site:
+            host = await open_streams(site)
+            async with open_call(site, host) as call:
+                head = await start_stream(call)
+                first = await call.read_chunk()
+                running = sum(engine.running for engine in site.engines)
+                rest = await read_chunks(call)
+            return head, first, running, rest
+
+    head, first, running, rest = curio.run(main)
+    assert head.status == 200
+    assert head.header('server-stamp').endswith('.stamp')
+    assert head.header('attempt-id') == 's1'
+    assert head.header('weight-versions') == '1'
+    assert first == b'id: 1\ndata: s1-1\n\n'
+    assert running == 1
+    assert first + b''.join(rest) == WHOLE
+
+
+def test_a_resumable_stream_goes_on_at_another_engine_after_its_last_event():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site, resumable=True)
+            for engine in site.engines:
+                engine.break_after = 2
+            head, chunks = await fetch_stream(site, host)
+            return head, b''.join(chunks), list_runs(site)
+
+    head, body, runs = curio.run(main)
+    assert head.status == 200
+    assert body == WHOLE
+    assert sorted(runs) == [('s1', 1), ('s1', 3), ('s1', 3)]
+
+
+def test_the_version_of_a_resumed_part_is_named_at_its_first_event():
+    async def main():
+        async with open_site(pace=0.05) as site:
+            host = await open_streams(site, resumable=True)
+            for engine in site.engines:
+                engine.break_after = 1
+            async with open_call(site, host) as call:
+                head = await start_stream(call)
+                change_others(site, version=2)
+                chunks = await read_chunks(call)
+            return head, b''.join(chunks)
+
+    head, body = curio.run(main)
+    assert head.header('weight-versions') == '1'
+    parts = body.split(b'\n\n')
+    assert parts[0] == b'id: 1\ndata: s1-1'
+    assert parts[1] == b'weight-versions: 2\nid: 2\ndata: s1-2'
+    assert parts[2] == b'id: 3\ndata: s1-3'
+
+
+def test_a_stream_of_one_version_does_not_go_on_under_another():
+    async def main():
+        async with open_site(pace=0.05) as site:
+            host = await open_streams(
+                site,
+                resumable=True,
+                singleVersion=True,
+            )
+            for engine in site.engines:
+                engine.break_after = 1
+            async with open_call(site, host) as call:
+                await start_stream(call)
+                change_others(site, version=2)
+                return await read_until_cut(call)
+
+    chunks, error = curio.run(main)
+    body = b''.join(chunks)
+    assert b'weight-versions' not in body
+    assert error or body == WHOLE
+
+
+def test_a_stream_that_may_not_resume_is_cut_off_and_never_looks_whole():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site)
+            for engine in site.engines:
+                engine.break_after = 2
+            async with open_call(site, host) as call:
+                await start_stream(call)
+                chunks, error = await read_until_cut(call)
+            return chunks, error, list_runs(site)
+
+    chunks, error, runs = curio.run(main)
+    assert b''.join(chunks) == WHOLE[: len(b''.join(chunks))]
+    assert b'' not in chunks
+    assert error
+    assert runs == [('s1', 1)]
+
+
+def test_a_stream_that_broke_off_before_its_first_event_ran_once():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site)
+            for engine in site.engines:
+                engine.wrong_ids = 1
+            async with open_call(site, host) as call:
+                head = await start_stream(call)
+            return head, list_runs(site)
+
+    head, runs = curio.run(main)
+    assert head.status == 502
+    assert len(runs) == 1
+
+
+def test_engines_that_refuse_are_passed_over():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site)
+            site.engines[0].refuse = 1
+            site.engines[1].refuse = 1
+            _head, chunks = await fetch_stream(site, host)
+            return b''.join(chunks), list_runs(site)
+
+    body, runs = curio.run(main)
+    assert body == WHOLE
+    assert runs == [('s1', 1)]
+
+
+def test_a_failure_of_the_engine_is_passed_on_unchanged():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site)
+            for engine in site.engines:
+                engine.fail = 1
+            head, _chunks = await fetch_stream(site, host)
+            return head, list_runs(site)
+
+    head, runs = curio.run(main)
+    assert head.status == 500
+    assert head.header('server-stamp').endswith('.stamp')
+    assert len(runs) == 1
+
+
+def test_a_caller_resumes_with_the_event_that_it_has():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site, resumable=True)
+            _head, chunks = await fetch_stream(site, host, last_event_id='1')
+            return b''.join(chunks), list_runs(site)
+
+    body, runs = curio.run(main)
+    assert body == WHOLE[WHOLE.index(b'id: 2') :]
+    assert runs == [('s1', 2)]
+
+
+def test_a_caller_that_has_all_events_gets_the_end():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site, resumable=True)
+            return await fetch_stream(site, host, last_event_id='3')
+
+    head, chunks = curio.run(main)
+    assert head.status == 200
+    assert chunks == []
+
+
+def test_the_engine_drops_a_stream_whose_caller_has_left():
+    async def main():
+        async with open_site(pace=0.2, words=20) as site:
+            host = await open_streams(site)
+            async with open_call(site, host) as call:
+                await start_stream(call)
+                await call.read_chunk()
+            await wait_until(
+                lambda: not any(engine.running for engine in site.engines),
+                seconds=1.5,
+            )
+            return [engine.running for engine in site.engines]
+
+    assert curio.run(main) == [0, 0]
+
+
+def test_a_silent_engine_is_left_where_the_stream_may_resume():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site, resumable=True)
+            for engine in site.engines:
+                engine.silent_after = 2
+            async with open_call(site, host) as call:
+                await start_stream(call)
+                change_others(site, silent_after=0)
+                chunks = await read_chunks(call)
+            return b''.join(chunks), list_runs(site)
+
+    body, runs = curio.run(main)
+    assert body == WHOLE
+    assert sorted(runs) == [('s1', 1), ('s1', 3)]
+
+
+def test_a_stream_ends_at_the_time_limit_of_its_caller():
+    async def main():
+        async with open_site(pace=0.3, words=20) as site:
+            host = await open_streams(site)
+            began = host.clock.elapsed()
+            async with open_call(site, host) as call:
+                await start_stream(call, deadline_ms='800')
+                _chunks, error = await read_until_cut(call)
+            return error, host.clock.elapsed() - began
+
+    error, took = curio.run(main)
+    assert error
+    assert took < timedelta(seconds=1.3)
+
+
+def test_live_streams_come_before_items_at_an_engine():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site, priority=7)
+            await fetch_stream(site, host)
+            await site.submit(host)
+            await site.read_whole(host)
+            return {rank for engine in site.engines for rank in engine.ranks}
+
+    assert curio.run(main) == {'4', None}
+
+
+def test_streams_go_on_where_a_host_lost_the_store():
+    async def main():
+        async with open_site() as site:
+            host = await open_streams(site)
+            site.store.down = 503
+            _head, chunks = await fetch_stream(site, host)
+            return b''.join(chunks)
+
+    assert curio.run(main) == WHOLE
