Keep answers of claims whole or not at all

Cause: the sink that keeps an answer for retries under the same key measured each chunk anew, so that an answer with one large chunk in the middle was kept without it; and bytes that are no text were kept as replacement characters. A caller that came again got other bytes than the first time.

Also, without a change of behaviour: one `AnswerSink` for both live paths, one bound on the time of a call (`limit_call`) for answers and streams, one place for what follows a failed attempt (`LiveRetries.take_failure`).

--- a/packages/entry/sequoiashed/calls.py
+++ b/packages/entry/sequoiashed/calls.py
@@ -1,8 +1,7 @@
 """A call on its way to a target, and where its answer goes."""
 
-from collections.abc import Awaitable, Coroutine
+from collections.abc import Awaitable
 from datetime import timedelta
-from typing import Protocol
 
 from attrs import define, field
 from sequoia_policy.caches import CachedStream
@@ -11,6 +10,7 @@
 from sequoia_policy.plans import ServiceKind
 from sequoia_policy.retries import AttemptFacts
 from sequoia_policy.verdicts import Verdict, merge_verdicts
+from sequoia_wire.answers import AnswerSink
 from sequoia_wire.codecs import decode
 from sequoia_wire.generations import TokenChunk
 from sequoia_wire.messages import Header
@@ -19,23 +19,6 @@
 ROLLOUT_PRIORITY = 1
 
 
-class AnswerSink(Protocol):
-    """Takes the answer of a call."""
-
-    def start(
-        self,
-        status: int,
-        headers: tuple[Header, ...] = (),
-    ) -> Coroutine[object, object, None]:
-        """Take the head."""
-
-    def send(self, chunk: bytes) -> Coroutine[object, object, None]:
-        """Take some bytes of the body."""
-
-    def finish(self) -> Coroutine[object, object, None]:
-        """Take the end of the body."""
-
-
 @define
 class RoutedCall:
     """One call and what its attempts have come to.
--- a/packages/entry/sequoiashed/claims.py
+++ b/packages/entry/sequoiashed/claims.py
@@ -17,13 +17,14 @@
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.plans import StoreAway
 from sequoia_policy.verdicts import Verdict
+from sequoia_wire.answers import AnswerSink
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.exchanges import VERDICT_HEADER
 from sequoia_wire.logs import Log
 from sequoia_wire.messages import Header, encode_headers
 from sequoia_wire.platform import Row, RowWrite
 
-from sequoiashed.calls import AnswerSink, CallerGoneError
+from sequoiashed.calls import CallerGoneError
 from sequoiashed.live import LiveCall, Proceed
 from sequoiashed.senders import REQUEST_ID
 from sequoiashed.states import HostState
@@ -71,7 +72,8 @@
 
     async def send(self, chunk: bytes) -> None:
         """Keep some bytes and pass them on."""
-        self.too_large = len(self.body) + len(chunk) > LARGEST_KEPT_ANSWER
+        size = len(self.body) + len(chunk)
+        self.too_large = self.too_large or size > LARGEST_KEPT_ANSWER
         if not self.too_large:
             self.body.extend(chunk)
         await self._pass_on(self.sink.send(chunk))
@@ -82,10 +84,14 @@
 
     @property
     def kept(self) -> str | None:
-        """The answer's text, or None if it was too large."""
+        """The answer's text, or None if it is too large or no text."""
         if self.too_large:
             return None
-        return self.body.decode(errors='replace')
+        try:
+            return self.body.decode()
+        except UnicodeDecodeError:
+            log.write('answer not kept', reason='it is no text')
+            return None
 
     async def _pass_on(self, sending: Coroutine[object, object, None]) -> None:
         if self.gone is not None:
--- a/packages/entry/sequoiashed/forwards.py
+++ b/packages/entry/sequoiashed/forwards.py
@@ -8,6 +8,7 @@
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.members import Member
 from sequoia_policy.verdicts import Verdict
+from sequoia_wire.answers import AnswerSink
 from sequoia_wire.exchanges import read_verdict
 from sequoia_wire.frames import FROM_CLIENT, PeerChannel
 from sequoia_wire.messages import Address, Header, read_address
@@ -20,7 +21,7 @@
 )
 from sequoia_wire.sockets import connect
 
-from sequoiashed.calls import AnswerSink, RoutedCall
+from sequoiashed.calls import RoutedCall
 
 CONNECT_PATIENCE = timedelta(seconds=1)
 MILLISECOND = timedelta(milliseconds=1)
--- a/packages/entry/sequoiashed/live.py
+++ b/packages/entry/sequoiashed/live.py
@@ -13,11 +13,12 @@
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.placements import Placement, place_record
 from sequoia_policy.plans import Caller, Service, ServiceKind
+from sequoia_wire.answers import AnswerSink
 from sequoia_wire.exchanges import Exchange
 from sequoia_wire.logs import Log
 from sequoia_wire.messages import RequestHead
 
-from sequoiashed.calls import AnswerSink, CallerGoneError, RoutedCall
+from sequoiashed.calls import CallerGoneError, RoutedCall
 from sequoiashed.routers import Router
 from sequoiashed.senders import REQUEST_ID
 from sequoiashed.states import HostState
--- a/packages/entry/sequoiashed/routers.py
+++ b/packages/entry/sequoiashed/routers.py
@@ -13,11 +13,11 @@
 from sequoia_policy.retries import draw_delay, find_retry_refusal
 from sequoia_policy.targets import TargetState
 from sequoia_policy.verdicts import Verdict
+from sequoia_wire.answers import AnswerSink
 from sequoia_wire.logs import Log
 
 from sequoiashed.calls import (
     ROLLOUT_PRIORITY,
-    AnswerSink,
     RoutedCall,
     TrackedSink,
 )
--- a/packages/entry/sequoiashed/senders.py
+++ b/packages/entry/sequoiashed/senders.py
@@ -6,6 +6,7 @@
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.targets import TargetState
 from sequoia_policy.verdicts import Verdict
+from sequoia_wire.answers import AnswerSink
 from sequoia_wire.clients import Call, HttpClient, Patience
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.exchanges import VERDICT_HEADER, read_verdict
@@ -22,7 +23,7 @@
     read_address,
 )
 
-from sequoiashed.calls import AnswerSink, RoutedCall
+from sequoiashed.calls import RoutedCall
 
 REQUEST_ID = 'sequoia-request-id'
 CONNECT_PATIENCE = timedelta(milliseconds=500)
--- a/packages/entry/tests/test_claims.py
+++ b/packages/entry/tests/test_claims.py
@@ -18,7 +18,12 @@
 from sequoia_wire.messages import RequestHead, encode_headers
 from sequoia_wire.platform import RowWrite
 from sequoiashed.calls import CallerGoneError
-from sequoiashed.claims import ClaimFilter, KnownAnswerFilter
+from sequoiashed.claims import (
+    LARGEST_KEPT_ANSWER,
+    ClaimFilter,
+    KeepingSink,
+    KnownAnswerFilter,
+)
 from sequoiashed.live import LiveCall
 from sequoiashed.sweepers import ClaimSweeper
 
@@ -270,3 +275,27 @@
 
 def test_a_claim_that_was_written_again_is_not_removed():
     assert curio.run(sweep, 5, [], ['key-3']) == (1, 0)
+
+
+def keep_answer(*chunks):
+    """Return what a claim keeps of an answer that comes in chunks."""
+    keeping = KeepingSink(ListSink())
+
+    async def main():
+        await keeping.start(200)
+        for chunk in chunks:
+            await keeping.send(chunk)
+        await keeping.finish()
+
+    curio.run(main)
+    return keeping.kept
+
+
+def test_an_answer_is_kept_whole_or_not_at_all():
+    assert keep_answer(b'book', b'ed') == 'booked'
+    large = b'x' * LARGEST_KEPT_ANSWER
+    assert keep_answer(b'a', large, b'z') is None
+
+
+def test_an_answer_that_is_no_text_is_not_kept_as_other_bytes():
+    assert keep_answer(b'\xff\xfe') is None
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -9,6 +9,7 @@
 from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.routing import Route
 from sequoia_policy.verdicts import Verdict
+from sequoia_wire.answers import AnswerSink
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Answer
 
@@ -19,7 +20,7 @@
     LiveRequest,
 )
 from sequoia_rollouts.live_retries import LiveRetries
-from sequoia_rollouts.live_streams import AnswerSink, LiveStream, StreamRelay
+from sequoia_rollouts.live_streams import LiveStream, StreamRelay
 from sequoia_rollouts.live_targets import LiveTargets
 from sequoia_rollouts.senders import LabelledAnswer, Sender
 
@@ -62,7 +63,7 @@
             self.chance,
             self.domain,
         )
-        self.retries = LiveRetries(self.clock)
+        self.retries = LiveRetries(self.clock, self.targets)
         self.relay = StreamRelay(
             self.clock,
             self.sender,
@@ -132,9 +133,7 @@
         try:
             labelled = await self._send(attempts, target)
         except ShedError as failure:
-            self.targets.take_failure(attempts, target, failure)
-            self.retries.check(attempts, failure)
-            await self.targets.pause(attempts, failure)
+            await self.retries.take_failure(attempts, target, failure)
             return None
         return self._take_answer(attempts, target, labelled)
 
--- a/packages/rollouts/sequoia_rollouts/live_retries.py
+++ b/packages/rollouts/sequoia_rollouts/live_retries.py
@@ -6,10 +6,12 @@
 from sequoia_policy.budgets import RetryBudget
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
+from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.retries import find_retry_refusal
 from sequoia_policy.verdicts import Verdict
 
 from sequoia_rollouts.live_attempts import RETRY_AFTER, LiveAttempts
+from sequoia_rollouts.live_targets import LiveTargets
 
 MOST_REFUSALS = 12  # answers "not run" that one request takes
 LEAST_LEFT = timedelta(milliseconds=15)  # that another attempt needs
@@ -21,25 +23,40 @@
     """Bounds the attempts of live requests."""
 
     clock: Clock
+    targets: LiveTargets
     budget: RetryBudget = field(factory=lambda: RetryBudget(RETRY_SHARE))
 
-    def check(self, attempts: LiveAttempts, failure: ShedError) -> None:
-        """Raise how the request ends unless it may be tried again."""
+    async def take_failure(
+        self,
+        attempts: LiveAttempts,
+        target: FleetTarget,
+        failure: ShedError,
+    ) -> None:
+        """Return when a request may be tried again after a failure.
+
+        Raises:
+            ShedError: How the request ends if it may not.
+        """
+        self.targets.take_failure(attempts, target, failure)
+        self._check(attempts, failure)
+        await self.targets.pause(attempts, failure)
+
+    def allows(self, attempts: LiveAttempts, failure: ShedError) -> bool:
+        """Tell whether a failure that a target answered is tried again."""
+        facts = attempts.make_facts(self.clock.elapsed())
+        return find_retry_refusal(facts, failure.code, self.budget) is None
+
+    def _check(self, attempts: LiveAttempts, failure: ShedError) -> None:
         if attempts.refusals > MOST_REFUSALS:
-            raise self.give_up(attempts, failure)
+            raise self._give_up(attempts, failure)
         facts = attempts.make_facts(self.clock.elapsed())
         if failure.verdict is Verdict.NOT_RUN and facts.is_safe:
             if facts.remaining > LEAST_LEFT:
                 return
         if find_retry_refusal(facts, failure.code, self.budget):
-            raise self.give_up(attempts, failure)
-
-    def allows(self, attempts: LiveAttempts, failure: ShedError) -> bool:
-        """Tell whether a failure that a target answered is tried again."""
-        facts = attempts.make_facts(self.clock.elapsed())
-        return find_retry_refusal(facts, failure.code, self.budget) is None
+            raise self._give_up(attempts, failure)
 
-    def give_up(
+    def _give_up(
         self,
         attempts: LiveAttempts,
         failure: ShedError,
--- a/packages/rollouts/sequoia_rollouts/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live_streams.py
@@ -6,17 +6,16 @@
 """
 
 from datetime import timedelta
-from typing import Protocol
 
-import curio
 from attrs import define, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.verdicts import Verdict
-from sequoia_wire.clients import Call, Patience
+from sequoia_wire.answers import AnswerSink
+from sequoia_wire.clients import Call, Patience, limit_call
 from sequoia_wire.logs import Log, LogKind
-from sequoia_wire.messages import Answer, AnswerHead, Header
+from sequoia_wire.messages import Answer, AnswerHead
 
 from sequoia_rollouts.dialects import CallLabels
 from sequoia_rollouts.events import EventReader, StreamEvent
@@ -61,23 +60,6 @@
 )
 
 
-class AnswerSink(Protocol):
-    """Takes an answer piece by piece."""
-
-    async def start(
-        self,
-        status: int,
-        headers: tuple[Header, ...] = (),
-    ) -> None:
-        """Take the head."""
-
-    async def send(self, chunk: bytes) -> None:
-        """Take some bytes of the body."""
-
-    async def finish(self) -> None:
-        """Take the end of a whole answer."""
-
-
 @define
 class LiveStream:
     """A stream as far as its caller has it.
@@ -141,9 +123,7 @@
             try:
                 answer = await self._run_at(stream, target)
             except ShedError as failure:
-                self.targets.take_failure(attempts, target, failure)
-                self.retries.check(attempts, failure)
-                await self.targets.pause(attempts, failure)
+                await self.retries.take_failure(attempts, target, failure)
         self._log_end(stream)
         return answer
 
@@ -153,18 +133,11 @@
         target: FleetTarget,
     ) -> Answer | None:
         left = stream.attempts.end - self.clock.elapsed()
-        call = self.sender.open(target)
         target.running += 1
         try:
-            async with curio.timeout_after(max(0, left.total_seconds())):
-                async with call:
+            async with self.sender.open(target) as call:
+                async with limit_call(call, left):
                     return await self._run_call(stream, target, call)
-        except curio.TaskTimeout as late:
-            raise ShedError(
-                Code.TARGET_STALLED,
-                f'{target.name} had {left.total_seconds():.2f} s',
-                verdict=Verdict.MAY_HAVE_RUN if call.sent else Verdict.NOT_RUN,
-            ) from late
         finally:
             target.running -= 1
 
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -2,13 +2,12 @@
 
 from datetime import timedelta
 
-import curio
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.verdicts import Verdict
-from sequoia_wire.clients import Call, HttpClient, Patience
+from sequoia_wire.clients import Call, HttpClient, Patience, limit_call
 from sequoia_wire.messages import (
     Answer,
     AnswerHead,
@@ -21,7 +20,6 @@
 
 CONNECT_PATIENCE = timedelta(milliseconds=200)
 SLOWEST_ANSWER = timedelta(seconds=30)  # without a byte of progress
-SHORTEST_PATIENCE = timedelta(milliseconds=1)
 GONE_STATUS = 421
 OWN_HEADERS = frozenset(
     (
@@ -91,8 +89,8 @@
                 run the request.
         """
         labels = CallLabels(outgoing.id, target.name, time_left)
-        async with self.open(target) as call:
-            return await self._fetch_within(call, outgoing, labels, patience)
+        async with self.open(target) as call, limit_call(call, patience):
+            return await self._fetch(call, outgoing, labels)
 
     async def start(
         self,
@@ -132,24 +130,6 @@
             raise ShedError(Code.WRONG_ANSWER, 'answer of another request')
         return answer
 
-    async def _fetch_within(
-        self,
-        call: Call,
-        outgoing: Outgoing,
-        labels: CallLabels,
-        patience: timedelta,
-    ) -> LabelledAnswer:
-        limit = max(SHORTEST_PATIENCE, patience).total_seconds()
-        try:
-            async with curio.timeout_after(limit):
-                return await self._fetch(call, outgoing, labels)
-        except curio.TaskTimeout as late:
-            raise ShedError(
-                Code.TARGET_STALLED,
-                f'{labels.target} did not answer in {limit:.2f} s',
-                verdict=Verdict.MAY_HAVE_RUN if call.sent else Verdict.NOT_RUN,
-            ) from late
-
     async def _fetch(
         self,
         call: Call,
--- a/packages/wire/sequoia_wire/clients.py
+++ b/packages/wire/sequoia_wire/clients.py
@@ -3,6 +3,8 @@
 import re
 import time
 from collections import defaultdict
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from datetime import timedelta
 from typing import Any
 
@@ -26,6 +28,7 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d{1,6})')
 EXPIRY_MARGIN = timedelta(milliseconds=500)
 IDLE_CONNECTIONS_PER_ADDRESS = 32
+SHORTEST_LIMIT = timedelta(milliseconds=1)
 
 
 @frozen
@@ -280,6 +283,26 @@
                 await waiting.pop().close()
 
 
+@asynccontextmanager
+async def limit_call(call: Call, limit: timedelta) -> AsyncIterator[None]:
+    """Bound the time of what is done with a call.
+
+    Raises:
+        ShedError: If the time is up; with verdict NOT_RUN only if no byte of
+            the request can have left.
+    """
+    seconds = max(SHORTEST_LIMIT, limit).total_seconds()
+    try:
+        async with curio.timeout_after(seconds):
+            yield
+    except curio.TaskTimeout as late:
+        raise ShedError(
+            Code.TARGET_STALLED,
+            f'{call.address} had {seconds:.2f} s',
+            verdict=Verdict.MAY_HAVE_RUN if call.sent else Verdict.NOT_RUN,
+        ) from late
+
+
 def read_expiry(head: AnswerHead) -> timedelta | None:
     """Return when the peer may close the connection, None if unknown."""
     match = KEEP_ALIVE_TIMEOUT.search(head.header('keep-alive') or '')
