Save the text of items under way, so that another host goes on

Cause: a submission that changed its owner began the texts under way anew.

Each 0.5 s the owner stores the events that are new, guarded by the ownership row as results are; whoever takes over goes on after the last event that is there, with the version that made each event. A host that stops saves once more before it hands over. The sweeper removes the rows with the submission.

Tests: test_progress.py; without it a text begins anew at its first event.

--- a/packages/rollouts/sequoia_rollouts/desks.py
+++ b/packages/rollouts/sequoia_rollouts/desks.py
@@ -10,6 +10,7 @@
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 
+from sequoia_rollouts.archives import Archive, StoredSubmission
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.item_runs import RunnerParts
 from sequoia_rollouts.owners import OwnedSubmission, OwnershipBoard
@@ -23,13 +24,8 @@
     RowRange,
     Store,
     Transaction,
-    read_all,
 )
 from sequoia_rollouts.tables import (
-    join_results,
-    join_specification,
-    results_range,
-    specification_range,
     submission_key,
     write_ownership,
     write_specification,
@@ -78,6 +74,11 @@
     board: OwnershipBoard
     runners: dict[str, SubmissionRunner] = field(factory=dict)
     starting: set[str] = field(factory=set)
+    archive: Archive = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the reader of stored rows."""
+        self.archive = Archive(self.store)
 
     async def accept(self, submission: Submission) -> None:
         """Keep a submission; return once it cannot be lost.
@@ -134,7 +135,7 @@
             submission = runner.submission
         else:
             await self._find(submission_id)
-            submission = await self._read_submission(submission_id)
+            submission = await self.archive.read_submission(submission_id)
         item = submission.find_item(item_id)
         if item is None:
             raise ShedError(Code.UNKNOWN_STEP, item_id)
@@ -178,39 +179,38 @@
         if not self._is_mine(submission_id):
             return True
         try:
-            submission = await self._read_submission(submission_id)
-            page = await read_all(self.store, results_range(submission_id))
+            stored = await self.archive.read_work(submission_id)
         except ShedError as failure:
             CANNOT_START_YET.write(
                 submission=submission_id,
                 detail=failure.detail,
             )
             return False
-        listed = join_results(page.rows, more=False).results
         if self._is_mine(submission_id):
-            await self._run(submission, list(listed), page.now)
+            await self._run(stored)
         return True
 
-    async def _run(
-        self,
-        submission: Submission,
-        listed: list[ItemResult],
-        store_now: timedelta,
-    ) -> None:
+    async def _run(self, stored: StoredSubmission) -> None:
+        submission = stored.submission
         owned = self.board.submissions[submission.id]
-        committer = Committer(self.store, self.clock)
-        recorder = Recorder(committer, submission, owned.version, listed)
+        recorder = Recorder(
+            Committer(self.store, self.clock),
+            submission,
+            owned.version,
+            list(stored.listed),
+        )
         route = self.directory.configuration.find_route(
             submission.host,
             submission.path,
         )
-        age = store_now - owned.ownership.accepted
+        age = stored.now - owned.ownership.accepted
         longest = route.max_age if route else STATUS_SPAN
         runner = SubmissionRunner(
             self.parts,
             submission,
             recorder,
             self.clock.elapsed() - age + longest,
+            stored.generations,
         )
         self.runners[submission.id] = runner
         await runner.start()
@@ -266,11 +266,6 @@
             raise ShedError(Code.UNKNOWN_STEP, submission_id)
         return known
 
-    async def _read_submission(self, submission_id: str) -> Submission:
-        wanted = specification_range(submission_id)
-        page = await read_all(self.store, wanted)
-        return join_specification(page.rows)
-
     async def _read_once(
         self,
         submission_id: str,
@@ -285,9 +280,7 @@
             found = tuple(runner.recorder.listed[after:])
             if found:
                 return cut_page(found)
-        page = await self.store.read(results_range(submission_id, after))
-        stored = join_results(page.rows, more=page.more)
-        return cut_page(stored.results)
+        return cut_page(await self.archive.read_results(submission_id, after))
 
     async def _write_end(
         self,
--- a/packages/rollouts/sequoia_rollouts/generations.py
+++ b/packages/rollouts/sequoia_rollouts/generations.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from attrs import define, field
+from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.fleets import FleetTarget
@@ -47,14 +47,27 @@
         self.end = end
 
 
+@frozen
+class MadeEvent:
+    """One event of a text.
+
+    Attributes:
+        number: Its id in the stream.
+        version: Weight version that made it; None if it is not known.
+    """
+
+    number: str
+    text: str = field(repr=False)
+    version: int | None = None
+
+
 @define
 class Generation:
     """The text of an item as far as it was generated.
 
     Attributes:
-        last_number: Id of the last whole event.
-        version: Version that made the last event; None before the first.
-        versions: All versions that made an event.
+        version: Version that makes the next event; None if it is not known.
+        restarts: How often the text was begun anew.
         done: Whether the stream ended whole.
         started: When the item was first sent to an engine.
         moved: When the last event came.
@@ -62,36 +75,42 @@
     """
 
     item: Item
-    texts: list[str] = field(factory=list)
-    last_number: str = ''
+    events: list[MadeEvent] = field(factory=list)
     version: int | None = None
-    versions: set[int] = field(factory=set)
+    restarts: int = 0
     done: bool = False
     started: timedelta | None = None
     moved: timedelta | None = None
     longest_gap: timedelta = timedelta()
 
+    @property
+    def last_number(self) -> str:
+        """Id of the last whole event, empty before the first."""
+        return self.events[-1].number if self.events else ''
+
+    @property
+    def versions(self) -> set[int]:
+        """All versions that made an event."""
+        made_by = {event.version for event in self.events}
+        return {version for version in made_by if version is not None}
+
     def accept(self, event: StreamEvent, now: timedelta) -> None:
         """Take the next event."""
         if self.moved is not None:
             self.longest_gap = max(self.longest_gap, now - self.moved)
         self.moved = now
-        self.texts.append(event.text)
-        self.last_number = event.number
-        if self.version is not None:
-            self.versions.add(self.version)
+        self.events.append(MadeEvent(event.number, event.text, self.version))
 
     def restart(self) -> None:
         """Forget all that was generated."""
-        self.texts.clear()
-        self.last_number = ''
+        self.events.clear()
+        self.restarts += 1
         self.version = None
-        self.versions.clear()
         self.done = False
 
     def render(self) -> str:
         """Return the whole text."""
-        return '\n'.join(self.texts)
+        return '\n'.join(event.text for event in self.events)
 
 
 @define
@@ -116,12 +135,16 @@
         call.patience = Patience(CONNECT_PATIENCE, FIRST_PATIENCE)
         async with call:
             await self._start(call, generation, target)
-            call.patience = Patience(
-                CONNECT_PATIENCE,
-                find_gap_patience(target, self.clock.elapsed()),
-            )
+            self._limit_gaps(call, target)
             await self._read_stream(call, generation, target)
 
+    def _limit_gaps(self, call: Call, target: FleetTarget) -> None:
+        """Bound the silence between events by the pace of the engine."""
+        call.patience = Patience(
+            CONNECT_PATIENCE,
+            find_gap_patience(target, self.clock.elapsed()),
+        )
+
     async def _start(
         self,
         call: Call,
@@ -176,14 +199,15 @@
         meter = PaceMeter(target, self.clock.elapsed())
         chunk = await call.read_chunk()
         while chunk:
-            before = len(generation.texts)
+            before = len(generation.events)
             self._take_chunk(reader, chunk, generation, target)
-            made = len(generation.texts) - before
-            measured = meter.count(made, self.clock.elapsed())
-            if measured and self.finds_faster(target):
-                raise RunEndedError(RunEnd.MOVED)
+            made = len(generation.events) - before
+            if meter.count(made, self.clock.elapsed()):
+                self._limit_gaps(call, target)
+                if self.finds_faster(target):
+                    raise RunEndedError(RunEnd.MOVED)
             chunk = await call.read_chunk()
-        if not reader.is_clean or not generation.texts:
+        if not reader.is_clean or not generation.events:
             raise ShedError(Code.TARGET_BROKE, 'the stream is not whole')
         generation.done = True
 
@@ -201,7 +225,8 @@
         for event in events:
             if event.version is not None:
                 self._take_version(generation, target, event.version)
-            generation.accept(event, self.clock.elapsed())
+            if event.number:
+                generation.accept(event, self.clock.elapsed())
 
     def _take_version(
         self,
--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -164,7 +164,7 @@
             target_running=run.target.running,
             target_version=run.target.version_of(self.submission.model),
             min_version=self.submission.min_version,
-            events_before=len(generation.texts),
+            events_before=len(generation.events),
         )
         generator = Generator(
             self.parts.clock,
@@ -233,7 +233,7 @@
             waited=(started - self.created).total_seconds(),
             generated=(moved - started).total_seconds(),
             rewarded=(now - moved).total_seconds(),
-            events=len(generation.texts),
+            events=len(generation.events),
             expected_tokens=generation.item.expected_tokens,
             longest_gap=generation.longest_gap.total_seconds(),
             versions=sorted(generation.versions),
@@ -269,7 +269,7 @@
 
     def _count_events(self, item: Item) -> int:
         generation = self.generations.get(item.id)
-        return len(generation.texts) if generation else 0
+        return len(generation.events) if generation else 0
 
     def _count_failure(self, item: Item, route: Route) -> None:
         if self.queue.count_failure(item.id) >= route.max_attempts:
--- a/packages/rollouts/sequoia_rollouts/recorders.py
+++ b/packages/rollouts/sequoia_rollouts/recorders.py
@@ -8,6 +8,7 @@
 from sequoia_policy.submissions import ItemResult, Submission
 from sequoia_wire.logs import Log, LogKind
 
+from sequoia_rollouts.archives import join_results
 from sequoia_rollouts.stores import (
     ABSENT,
     Committer,
@@ -18,7 +19,6 @@
     read_all,
 )
 from sequoia_rollouts.tables import (
-    join_results,
     results_range,
     submission_key,
     write_result,
--- a/packages/rollouts/sequoia_rollouts/runners.py
+++ b/packages/rollouts/sequoia_rollouts/runners.py
@@ -8,9 +8,11 @@
 from sequoia_policy.submissions import Item, Submission, WorkQueue
 from sequoia_wire.logs import Log, LogKind
 
+from sequoia_rollouts.generations import Generation
 from sequoia_rollouts.item_runs import ItemRun, ItemRunner, RunnerParts
 from sequoia_rollouts.parts import keep_running
 from sequoia_rollouts.placers import EngineNeed
+from sequoia_rollouts.progress import ProgressSaver
 from sequoia_rollouts.recorders import Recorder
 
 IDLE_LOOK = timedelta(milliseconds=20)
@@ -27,6 +29,7 @@
 
     Attributes:
         expires: When unfinished items are given up.
+        generations: What was generated of items without a result.
         draining: Whether no further item starts.
     """
 
@@ -34,22 +37,36 @@
     submission: Submission
     recorder: Recorder
     expires: timedelta
+    generations: dict[str, Generation] = field(factory=dict)
     draining: bool = False
     queue: WorkQueue = field(init=False)
     items: ItemRunner = field(init=False)
+    saver: ProgressSaver = field(init=False)
     task: curio.Task | None = None
 
     def __attrs_post_init__(self) -> None:
         """Queue the items that have no result yet."""
         self.queue = WorkQueue(self.submission)
-        self.queue.drop({known.id for known in self.recorder.listed})
+        listed = {known.id for known in self.recorder.listed}
+        self.queue.drop(listed)
+        for done in listed & self.generations.keys():
+            self.generations.pop(done)
         self.items = ItemRunner(
             self.parts,
             self.submission,
             self.queue,
             self.recorder,
             self.parts.clock.elapsed(),
+            self.generations,
         )
+        self.saver = ProgressSaver(
+            self.recorder.committer.store,
+            self.submission,
+            lambda: self.recorder.version,
+            self.generations,
+        )
+        for generation in self.generations.values():
+            self.saver.note_stored(generation)
 
     async def start(self) -> None:
         """Run in the background."""
@@ -75,6 +92,7 @@
 
     async def _run_items(self, group: curio.TaskGroup) -> None:
         await group.spawn(keep_running, self.recorder.run)
+        await group.spawn(keep_running, self.saver.run)
         while not self.recorder.is_whole:
             item = None if self.draining else self.queue.take()
             if item is None:
--- a/packages/rollouts/sequoia_rollouts/shutdowns.py
+++ b/packages/rollouts/sequoia_rollouts/shutdowns.py
@@ -58,7 +58,8 @@
         async with curio.ignore_after(FINISH_TIME.total_seconds()):
             while not self._is_idle():
                 await curio.sleep(DRAIN_LOOK.total_seconds())
-        for name in tuple(self.desk.runners):
+        for name, runner in tuple(self.desk.runners.items()):
+            await runner.saver.save()
             await self._release(name)
 
     async def _release(self, name: str) -> None:
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -19,6 +19,7 @@
 )
 from sequoia_rollouts.tables import (
     heartbeat_key,
+    progress_range,
     results_range,
     specification_range,
     submission_key,
@@ -79,7 +80,11 @@
     async def _remove(self, owned: OwnedSubmission) -> None:
         """Remove all rows; the one that names the submission goes last."""
         writes: list[RowWrite] = []
-        for wanted in (results_range(owned.id), specification_range(owned.id)):
+        for wanted in (
+            progress_range(owned.id),
+            results_range(owned.id),
+            specification_range(owned.id),
+        ):
             page = await read_all(self.store, wanted)
             writes.extend(RowWrite(row.key, None) for row in page.rows)
         for start in range(0, len(writes), ROWS_PER_CALL):
--- a/packages/rollouts/sequoia_rollouts/tables.py
+++ b/packages/rollouts/sequoia_rollouts/tables.py
@@ -1,18 +1,18 @@
 """Tables, parts and keys of the service's own rows, and their content."""
 
 import zlib
-from collections.abc import Iterable
 
-from attrs import field, frozen
+from attrs import frozen
 from sequoia_policy.presences import Heartbeat
 from sequoia_policy.submissions import ItemResult, Ownership, Submission
 from sequoia_wire.codecs import decode, encode
 
-from sequoia_rollouts.stores import Row, RowKey, RowRange, RowWrite
+from sequoia_rollouts.stores import RowKey, RowRange, RowWrite
 
 OWNERSHIP = 'ownership'
 SPECIFICATIONS = 'specifications'
 RESULTS = 'results'
+PROGRESS = 'progress'
 HOSTS = 'hosts'
 SHARDS = tuple(f's{number:02d}' for number in range(16))
 PIECE_BYTES = 45000  # raw bytes of one row of a long content
@@ -28,18 +28,6 @@
     owner: str
 
 
-@frozen
-class StoredResults:
-    """Results of a submission from a position on.
-
-    Attributes:
-        more: Whether the store has further results.
-    """
-
-    results: tuple[ItemResult, ...] = field(repr=False)
-    more: bool = False
-
-
 def find_shard(name: str) -> str:
     """Return the part that holds all rows of a submission or duty."""
     return SHARDS[zlib.crc32(name.encode()) % len(SHARDS)]
@@ -155,35 +143,25 @@
     )
 
 
-def join_specification(rows: Iterable[Row]) -> Submission:
-    """Decode a submission from the rows of its specification.
-
-    Raises:
-        ShedError: If they cannot be read.
-    """
-    content = b''.join(row.body or b'' for row in rows)
-    return decode(content, Submission)
-
-
-def join_results(rows: Iterable[Row], *, more: bool) -> StoredResults:
-    """Decode results from rows in order of position.
+def progress_key(
+    submission_id: str,
+    item_id: str,
+    restart: int,
+    start: int,
+) -> RowKey:
+    """Return the key of an item's events from a position on."""
+    return RowKey(
+        PROGRESS,
+        find_shard(submission_id),
+        f'{submission_id}/{item_id}/{restart:04d}/{start:06d}',
+    )
 
-    Args:
-        rows: Rows of a range of results.
-        more: Whether the range went on; the last result is then left out,
-            as it may lack pieces.
 
-    Raises:
-        ShedError: If one cannot be read.
-    """
-    bodies: dict[str, bytes] = {}
-    for row in rows:
-        position = row.key.key.split('/')[1]
-        bodies[position] = bodies.get(position, b'') + (row.body or b'')
-    wholes = list(bodies.values())
-    if more and len(wholes) > 1:
-        wholes.pop()
-    return StoredResults(
-        tuple(decode(whole, ItemResult) for whole in wholes),
-        more,
+def progress_range(submission_id: str) -> RowRange:
+    """Return the range of what a submission's items have generated."""
+    return RowRange(
+        PROGRESS,
+        find_shard(submission_id),
+        f'{submission_id}/',
+        f'{submission_id}{AFTER_SLASH}',
     )
--- /dev/null
+++ b/packages/rollouts/tests/test_progress.py
@@ -0,0 +1,223 @@
+"""Tests of text that outlives the host that generates it."""
+
+from datetime import timedelta
+
+import curio
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+from sequoia_policy.submissions import Item, Submission
+from sequoia_rollouts.generations import Generation, MadeEvent
+from sequoia_rollouts.progress import (
+    MOST_ROW_BYTES,
+    ProgressSaver,
+    SavedEvents,
+    restore_generations,
+)
+from sequoia_rollouts.stores import ABSENT, Row, RowKey
+from sequoia_wire.codecs import encode
+from sites import open_site, wait_until
+
+ITEM = Item('item0', '/x')
+SUBMISSION = Submission('lot1', 'host', '/x', (ITEM,))
+
+
+def make_events(count, version=1, size=4):
+    return [
+        MadeEvent(str(number), f'{number}'.rjust(size, '.'), version)
+        for number in range(1, count + 1)
+    ]
+
+
+def add_events(generation, count):
+    known = len(generation.events)
+    generation.events.extend(make_events(known + count)[known:])
+
+
+class MemoryRows:
+    """Keeps what is committed, in byte order of its keys."""
+
+    def __init__(self):
+        self.rows = {}
+        self.commits = 0
+
+    async def commit(self, transaction):
+        self.commits += 1
+        for write in transaction.writes:
+            self.rows[write.key.key] = write.body
+        return self.commits
+
+    def list(self):
+        return [
+            Row(RowKey('progress', '', key), 1, self.rows[key])
+            for key in sorted(self.rows)
+        ]
+
+
+def make_saver(store, generation):
+    return ProgressSaver(
+        store,
+        SUBMISSION,
+        lambda: ABSENT,
+        {'item0': generation},
+    )
+
+
+def restore(store):
+    return restore_generations(SUBMISSION, store.list()).get('item0')
+
+
+async def kill_owner(site, seconds):
+    """Kill the owner of a submission after a while; return another host."""
+    await wait_until(lambda: any(host.desk.runners for host in site.hosts))
+    owner = next(host for host in site.hosts if host.desk.runners)
+    other = next(host for host in site.hosts if host is not owner)
+    await curio.sleep(seconds)
+    await site.kill(owner)
+    return other
+
+
+def test_another_host_goes_on_after_the_last_saved_event():
+    async def main():
+        async with open_site(hosts=2, engines=1, pace=0.1, words=30) as site:
+            await site.submit(site.hosts[0], count=1)
+            other = await kill_owner(site, 1.8)
+            found = await site.read_whole(other)
+            return found, site.engines[0].runs
+
+    found, runs = curio.run(main)
+    assert found[0]['text'] == '\n'.join(
+        f'item0-{number}' for number in range(1, 31)
+    )
+    assert [number for _item, number in runs][0] == 1
+    assert runs[1][1] > 9  # of 18 events at most half a second is not saved
+
+
+def test_a_text_goes_on_after_all_hosts_were_killed():
+    async def main():
+        async with open_site(hosts=1, engines=1, pace=0.1, words=25) as site:
+            host = site.hosts[0]
+            await site.submit(host, count=1)
+            await wait_until(lambda: site.engines[0].runs)
+            await curio.sleep(1.5)
+            await site.kill(host)
+            again = await site.start_host('h2')
+            return await site.read_whole(again), site.engines[0].runs
+
+    found, runs = curio.run(main)
+    assert len(found[0]['text'].split('\n')) == 25
+    assert runs[1][1] > 6
+
+
+def test_versions_of_saved_events_are_kept():
+    async def main():
+        async with open_site(hosts=2, engines=1, pace=0.1, words=30) as site:
+            await site.submit(site.hosts[0], count=1)
+            other = await kill_owner(site, 1.5)
+            site.engines[0].version = 2
+            return await site.read_whole(other)
+
+    assert curio.run(main)[0]['versions'] == [1, 2]
+
+
+def test_saved_rows_go_with_their_submission():
+    async def main():
+        async with open_site(engines=1, pace=0.1, words=12) as site:
+            host = site.hosts[0]
+            await site.submit(host, count=1)
+            await site.read_whole(host)
+            kept = len(site.store.find('progress'))
+            await site.call(host, 'DELETE', '/v1/lots/lot1')
+            owned = host.board.submissions['lot1']
+            earlier = owned.ownership.accepted - timedelta(seconds=200)
+            host.board.submissions['lot1'] = evolve(
+                owned,
+                ownership=evolve(owned.ownership, accepted=earlier),
+            )
+            await host.sweeper.sweep()
+            return kept, len(site.store.find('progress'))
+
+    kept, left = curio.run(main)
+    assert kept
+    assert not left
+
+
+@given(st.lists(st.integers(1, 9), max_size=12), st.integers(0, 11))
+def test_any_prefix_of_the_saves_restores_a_prefix_of_the_text(steps, cut):
+    generation = Generation(ITEM)
+    store = MemoryRows()
+    saver = make_saver(store, generation)
+
+    async def main():
+        for step in steps:
+            add_events(generation, step)
+            await saver.save()
+
+    curio.run(main)
+    for key in sorted(store.rows)[cut:]:
+        store.rows.pop(key)
+    restored = restore(store)
+    events = restored.events if restored else []
+    assert events == generation.events[: len(events)]
+    if cut >= len(steps):
+        assert events == generation.events
+
+
+def test_a_lost_row_ends_the_text_before_it():
+    generation = Generation(ITEM)
+    store = MemoryRows()
+    saver = make_saver(store, generation)
+
+    async def main():
+        for count in (3, 3, 3):
+            add_events(generation, count)
+            await saver.save()
+
+    curio.run(main)
+    store.rows.pop(sorted(store.rows)[1])
+    assert len(restore(store).events) == 3
+
+
+def test_a_text_begun_anew_takes_the_place_of_the_earlier_one():
+    generation = Generation(ITEM)
+    store = MemoryRows()
+    saver = make_saver(store, generation)
+
+    async def main():
+        generation.events.extend(make_events(5))
+        await saver.save()
+        generation.restart()
+        generation.events.extend(make_events(2, version=2))
+        await saver.save()
+
+    curio.run(main)
+    restored = restore(store)
+    assert restored.events == make_events(2, version=2)
+    assert restored.versions == {2}
+
+
+def test_long_texts_are_spread_over_rows_that_are_small_enough():
+    generation = Generation(ITEM, make_events(30, size=5000))
+    store = MemoryRows()
+    saver = make_saver(store, generation)
+    curio.run(saver.save)
+    assert max(len(body) for body in store.rows.values()) < 2 * MOST_ROW_BYTES
+    assert restore(store).events == generation.events
+
+
+def test_nothing_new_writes_nothing():
+    generation = Generation(ITEM, make_events(3))
+    store = MemoryRows()
+    saver = make_saver(store, generation)
+    curio.run(saver.save)
+    curio.run(saver.save)
+    assert store.commits == 1
+
+
+def test_rows_that_cannot_be_read_are_left_out():
+    store = MemoryRows()
+    piece = SavedEvents('item0', 0, 0, tuple(make_events(2)))
+    store.rows['lot1/item0/0000/000000'] = encode(piece)
+    store.rows['lot1/item0/0000/000002'] = b'\xff'
+    store.rows['lot1/other/0000/000000'] = encode(evolve(piece, item='other'))
+    assert restore(store).events == make_events(2)
