Load at once only the engines that steps need

Now engines load at once until the open steps (or the size of the last one) have twice the slots they need of engines that are new enough. Engines with an order under way count as holding what was ordered.

--- a/packages/policy/sequoia_policy/submissions.py
+++ b/packages/policy/sequoia_policy/submissions.py
@@ -130,6 +130,21 @@
     return max(0, newest.newest_version - newest.min_version)
 
 
+def count_wanted_items(steps: Iterable[Ownership], model: str) -> int | None:
+    """Return how many items a model's engines should be ready for.
+
+    Between two steps that is the size of the last one; None if there was
+    none.
+    """
+    found = [step for step in steps if step.model == model]
+    if not found:
+        return None
+    newest = max(found, key=lambda step: step.accepted)
+    return max(
+        newest.total, sum(step.total for step in found if not step.ended)
+    )
+
+
 @frozen(order=True)
 class GroupRank:
     """Orders the groups of a submission; the lowest comes first.
--- a/packages/policy/tests/test_loads.py
+++ b/packages/policy/tests/test_loads.py
@@ -12,10 +12,11 @@
 )
 
 LONG_AGO = timedelta(seconds=9)
+MANY = 1000  # items, more than the engines have slots
 
 
-def make_need(newest=5, slack=1, model='m0', named_for=LONG_AGO):
-    return ModelNeed(model, newest, slack, named_for)
+def make_need(newest=5, slack=1, model='m0', named_for=LONG_AGO, items=MANY):
+    return ModelNeed(model, newest, slack, named_for, items)
 
 
 def make_engines(*held):
@@ -66,6 +67,60 @@
     assert all(load.behind == 1 for load in planned)
 
 
+def play_versions(count, period, versions, items):
+    """Return the orders that a fleet gets, and its versions at the end.
+
+    A version is named each ``period``, starting with all engines at 1; an
+    order takes one second.
+    """
+    held = [1] * count
+    orders = 0
+    tick = timedelta(milliseconds=500)
+    ticks = period // tick
+    loading = []
+    for newest in range(2, versions + 2):
+        for number in range(ticks):
+            need = make_need(newest, 1, named_for=tick * number, items=items)
+            for place, version in loading.pop(0) if len(loading) > 1 else ():
+                held[place] = version
+            under_way = {place: v for step in loading for place, v in step}
+            engines = [
+                EngineState(
+                    str(place),
+                    (max(version, under_way.get(place, 0)),),
+                    8,
+                    0,
+                    place not in under_way,
+                )
+                for place, version in enumerate(held)
+            ]
+            planned = plan_loads(engines, [need], len(under_way))
+            loading.append([(int(one.engine), one.version) for one in planned])
+            orders += len(planned)
+    return orders, held
+
+
+def test_of_many_engines_those_that_a_step_needs_load_at_once():
+    orders, held = play_versions(300, timedelta(seconds=4), 9, 56)
+    engines = 14  # 56 items, twice over, at 8 slots
+    assert orders <= 10 * engines
+    assert sum(version >= 9 for version in held) >= engines
+
+
+def test_all_engines_follow_a_version_that_stands():
+    orders, held = play_versions(600, timedelta(seconds=29), 1, 512)
+    assert held == [2] * 600
+    assert orders == 600
+
+
+def test_engines_that_no_step_needs_are_not_loaded_at_once():
+    engines = make_engines(*[(4,)] * 40)
+    need = make_need(named_for=START_DELAY, items=4)
+    assert len(plan_loads(engines, [need], 0)) == 8
+    later = make_need(named_for=LONG_AGO, items=0)
+    assert len(plan_loads(engines, [later], 0)) == 2
+
+
 versions = st.tuples(st.integers(1, 6), st.integers(1, 6))
 
 
--- a/packages/policy/tests/test_submissions.py
+++ b/packages/policy/tests/test_submissions.py
@@ -2,11 +2,13 @@
 
 from datetime import timedelta
 
+from attrs import evolve
 from sequoia_policy.submissions import (
     Item,
     Ownership,
     Submission,
     WorkQueue,
+    count_wanted_items,
     find_slack,
 )
 
@@ -61,3 +63,15 @@
     assert find_slack(steps, 'm') == 1
     assert find_slack(steps, 'other') == 0
     assert find_slack([make_step(1, 1, 3)], 'm') == 0
+
+
+def test_engines_are_ready_for_the_open_steps_or_the_size_of_the_last():
+    earlier = Ownership('', 40, model='m0', ended=True)
+    later = Ownership('', 24, model='m0', accepted=timedelta(seconds=4))
+    other = Ownership('', 90, model='m1', accepted=timedelta(seconds=9))
+    open_step = evolve(earlier, ended=False)
+    assert count_wanted_items([other], 'm0') is None
+    assert count_wanted_items([earlier, later, other], 'm0') == 24
+    assert count_wanted_items([open_step, later, other], 'm0') == 64
+    ended = evolve(later, ended=True)
+    assert count_wanted_items([earlier, ended, other], 'm0') == 24
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -14,7 +14,7 @@
     plan_loads,
 )
 from sequoia_policy.routing import Service
-from sequoia_policy.submissions import find_slack
+from sequoia_policy.submissions import count_wanted_items, find_slack
 from sequoia_wire.codecs import encode
 from sequoia_wire.logs import Log, LogKind
 
@@ -68,7 +68,7 @@
         order_lease: Shortest time between orders of two hosts.
         may_order_from: When this host may give its first order.
         named: When each version of a model was first seen.
-        ordering: Names of the engines with an order under way.
+        ordering: What engines with an order under way are to hold.
         loading_until: When the newest load of each engine should end; its
             report says so only later.
     """
@@ -81,7 +81,7 @@
     service: Service
     order_lease: timedelta
     may_order_from: timedelta = timedelta()
-    ordering: set[str] = field(factory=set)
+    ordering: dict[str, Wanted] = field(factory=dict)
     named: dict[str, SeenVersion] = field(factory=dict)
     loading_until: dict[str, timedelta] = field(factory=dict)
 
@@ -100,9 +100,9 @@
             return
         for load in self._plan():
             target = self.directory.fleet.targets[load.engine]
-            self.ordering.add(target.name)
-            self.loading_until[target.name] = self.clock.elapsed() + LOAD_TIME
             wanted = Wanted(load.model, load.version)
+            self.ordering[target.name] = wanted
+            self.loading_until[target.name] = self.clock.elapsed() + LOAD_TIME
             await curio.spawn(
                 self._run_order,
                 target,
@@ -185,7 +185,8 @@
         engines = [
             EngineState(
                 target.name,
-                tuple(target.version_of(need.model) for need in needs),
+                tuple(self._find_held(target, need.model) for need in needs),
+                target.slots,
                 target.running,
                 target.name not in self.ordering and target.is_usable(now),
             )
@@ -194,17 +195,27 @@
         under_way = sum(until > now for until in self.loading_until.values())
         return plan_loads(engines, needs, under_way)
 
+    def _find_held(self, target: FleetTarget, model: str) -> int:
+        """Return the version that an engine holds, or was ordered to."""
+        held = target.version_of(model)
+        wanted = self.ordering.get(target.name)
+        if wanted and wanted.model == model:
+            return max(held, wanted.version)
+        return held
+
     def _find_need(self, model: str, now: timedelta) -> ModelNeed:
         version = self.directory.versions[model]
         seen = self.named.get(model)
         if seen is None or seen.version != version:
             seen = SeenVersion(version, now)
             self.named[model] = seen
+        steps = self.board.list_ownerships()
         return ModelNeed(
             model,
             version,
-            find_slack(self.board.list_ownerships(), model),
+            find_slack(steps, model),
             now - seen.since,
+            count_wanted_items(steps, model),
         )
 
     async def _run_order(
@@ -231,7 +242,7 @@
             target.pause(self.clock.elapsed(), RETRY_PAUSE)
             await curio.sleep(RETRY_PAUSE.total_seconds())
         finally:
-            self.ordering.discard(target.name)
+            self.ordering.pop(target.name, None)
 
     def _may_mix(self) -> bool:
         """Tell whether a text may come from several versions."""
