Refuse a body with two lengths, drop headers that Connection names

Cause: h11 takes a request with both Content-Length and Transfer-Encoding by its chunks. What a client sent as one body could so hold a second request, and a target ran it (the test's answer shows both ids answered). Headers that a client named in Connection were passed on to the target.

--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -146,4 +146,11 @@
 
 def strip_own_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return headers without those that concern one connection only."""
-    return tuple(header for header in headers if header[0] not in OWN_HEADERS)
+    named = {
+        name.strip().lower()
+        for header, text in headers
+        if header == b'connection'
+        for name in text.split(b',')
+    }
+    own = OWN_HEADERS | named
+    return tuple(header for header in headers if header[0] not in own)
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -11,6 +11,17 @@
 MODEL = 'm0'
 
 
+@define
+class SeenRequest:
+    """A request as a server got it."""
+
+    id: str
+    method: str
+    target: str
+    headers: tuple
+    body: bytes
+
+
 @define(eq=False)
 class EngineStandin:
     """A model engine that streams words, one an event.
@@ -21,6 +32,7 @@
         break_after: Events after which the next stream breaks off.
         silent_after: Events after which the next stream falls silent.
         ranks: Priorities that requests asked for.
+        requests: Requests that were not meant for another server.
         fail: Number of requests that are answered 500.
         refuse: Number of requests that are refused as not run.
         late_orders: Number of orders that get no answer, and are carried out.
@@ -40,6 +52,7 @@
     wrong_ids: int = 0
     runs: list = field(factory=list)
     ranks: list = field(factory=list)
+    requests: list = field(factory=list)
     orders: list = field(factory=list)
     fence: int = 0
     seq: int = 0
@@ -77,6 +90,15 @@
         elif path == '/v1/order':
             await self.take_order(exchange, orjson.loads(body))
         else:
+            self.requests.append(
+                SeenRequest(
+                    exchange.head.header('attempt-id'),
+                    exchange.head.method,
+                    exchange.head.target,
+                    exchange.head.headers,
+                    body,
+                ),
+            )
             await self.serve(exchange)
 
     def report(self):
--- a/packages/wire/sequoia_wire/servers.py
+++ b/packages/wire/sequoia_wire/servers.py
@@ -166,7 +166,9 @@
         return True
 
     def _check_head(self, head: RequestHead) -> None:
-        """Refuse a large head that came in one piece."""
+        """Refuse a large head, and one that does not say where it ends."""
+        if head.header('transfer-encoding') and head.header('content-length'):
+            raise ShedError(Code.BAD_REQUEST, 'two lengths of the body')
         sizes = [len(name) + len(text) for name, text in head.headers]
         size = len(head.target) + sum(sizes)
         if size > self.server.limits.header_bytes:
