Send a slow live request to a second target; keep dead hosts dead; read feeds less often

- A live request at a silent or slow target was given up after twice its objective, so it was late whatever came next; one at an unreachable target waited 200 ms for a connection.
Now a second send starts after 0.6 of the objective (or 2.5 times what is usual on the route), within the budget of retries and of attempts, and never where the request may run once; the first good answer counts.
Now only hosts that lived at the last read get their full time again.
- Each change of a table ended a read of its feed.
Reads of a feed are now at least 50 ms apart, and further where there are many hosts; a registration that says nothing new is not logged.

`sequoia_wire.platform` is now `sequoia_wire.environment`: it holds the messages of the own interface's surroundings, not of the users' platform.

--- a/packages/bench/sequoia_bench/streams.py
+++ b/packages/bench/sequoia_bench/streams.py
@@ -28,7 +28,7 @@
     TokenChunk,
 )
 from sequoia_wire.messages import Address, RequestHead, encode_headers
-from sequoia_wire.platform import TargetStatus
+from sequoia_wire.environment import TargetStatus
 from sequoia_wire.servers import HttpServer
 
 from sequoia_bench.figures import Figure
--- a/packages/entry/sequoiashed/attempts.py
+++ b/packages/entry/sequoiashed/attempts.py
@@ -17,7 +17,7 @@
 from sequoia_wire.generations import GenerationCall, TokenChunk
 from sequoia_wire.logs import Log
 from sequoia_wire.messages import Header
-from sequoia_wire.platform import Score, Scoring
+from sequoia_wire.environment import Score, Scoring
 from sequoia_wire.rows import SampleRecord, SlotRow
 
 from sequoiashed.calls import ROLLOUT_PRIORITY, RoutedCall
--- a/packages/entry/sequoiashed/handovers.py
+++ b/packages/entry/sequoiashed/handovers.py
@@ -14,7 +14,7 @@
 )
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log
-from sequoia_wire.platform import (
+from sequoia_wire.environment import (
     Row,
     RowWrite,
     TableQuery,
--- a/packages/entry/sequoiashed/leases.py
+++ b/packages/entry/sequoiashed/leases.py
@@ -7,7 +7,7 @@
 from sequoia_policy.leases import Lease, Sighting
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log
-from sequoia_wire.platform import (
+from sequoia_wire.environment import (
     ABSENT,
     Row,
     RowWrite,
--- a/packages/entry/sequoiashed/ordering.py
+++ b/packages/entry/sequoiashed/ordering.py
@@ -9,7 +9,7 @@
 from sequoia_wire.logs import Log
 from sequoia_wire.messages import RequestHead, read_address
 from sequoia_wire.orders import sign_order
-from sequoia_wire.platform import Order, TargetStatus
+from sequoia_wire.environment import Order, TargetStatus
 
 from sequoiashed.grants import Grant
 from sequoiashed.states import HostState
--- a/packages/entry/sequoiashed/plans.py
+++ b/packages/entry/sequoiashed/plans.py
@@ -16,7 +16,7 @@
     PlanCopy,
     PlanRequest,
 )
-from sequoia_wire.platform import Row, TableQuery
+from sequoia_wire.environment import Row, TableQuery
 from sequoia_wire.rows import PLAN_HEAD, PlanHead
 
 from sequoiashed.forwards import open_channel
--- a/packages/entry/sequoiashed/watchers.py
+++ b/packages/entry/sequoiashed/watchers.py
@@ -14,7 +14,7 @@
 from sequoia_wire.codecs import decode
 from sequoia_wire.logs import Log
 from sequoia_wire.messages import RequestHead, encode_headers, read_address
-from sequoia_wire.platform import HostsList, TargetStatus
+from sequoia_wire.environment import HostsList, TargetStatus
 
 from sequoiashed.states import HostState
 
--- a/packages/entry/sequoiashed/weights.py
+++ b/packages/entry/sequoiashed/weights.py
@@ -17,7 +17,7 @@
 from sequoia_wire.codecs import decode
 from sequoia_wire.logs import Log
 from sequoia_wire.messages import RequestHead
-from sequoia_wire.platform import (
+from sequoia_wire.environment import (
     Order,
     PublishedWeights,
     TargetStatus,
--- a/packages/policy/sequoia_policy/fleets.py
+++ b/packages/policy/sequoia_policy/fleets.py
@@ -157,14 +157,16 @@
 
     targets: dict[str, FleetTarget] = field(factory=dict)
 
-    def register(self, registration: Registration) -> None:
-        """Take a new or changed registration."""
+    def register(self, registration: Registration) -> bool:
+        """Take a registration; tell whether it says anything new."""
         known = self.targets.get(registration.name)
         if known is None or known.registration.born != registration.born:
             self.targets[registration.name] = FleetTarget(registration)
-            return
+            return True
+        is_news = known.lapsed is not None or known.registration != registration
         known.registration = registration
         known.lapsed = None
+        return is_news
 
     def remove(self, name: str, now: timedelta, grace: timedelta) -> None:
         """Drop a target, after ``grace`` if that is not zero."""
--- a/packages/policy/sequoia_policy/presences.py
+++ b/packages/policy/sequoia_policy/presences.py
@@ -7,6 +7,9 @@
 
 SHORTEST_PERIOD = timedelta(milliseconds=400)
 HEARTBEATS_PER_SECOND = 250  # of all hosts together
+SHORTEST_FEED_PERIOD = timedelta(milliseconds=50)
+FEED_READS_PER_SECOND = 1200  # of all hosts together
+FEEDS = 3  # tables that each host follows
 PERIODS_TO_DEATH = 3.5
 PERIODS_OF_LEASE = 2.5  # fewer than to death
 PERIODS_OF_GAP = 3.0  # between two reads that count
@@ -64,6 +67,15 @@
         shared = timedelta(seconds=self.hosts / HEARTBEATS_PER_SECOND)
         return max(SHORTEST_PERIOD, shared)
 
+    @property
+    def feed_period(self) -> timedelta:
+        """Shortest time between two reads of the changes of a table."""
+        reads = self.hosts * FEEDS
+        return max(
+            SHORTEST_FEED_PERIOD,
+            timedelta(seconds=reads / FEED_READS_PER_SECOND),
+        )
+
     @property
     def dead_after(self) -> timedelta:
         """Silence after which a host counts as dead."""
@@ -90,7 +102,7 @@
     """All heartbeats, as one host reads them.
 
     Time counts against a host only while this one reads the table: after a
-    gap all hosts have their full time again.
+    gap all hosts that lived before it have their full time again.
     """
 
     sightings: dict[str, Sighting] = field(factory=dict)
@@ -103,11 +115,9 @@
 
     def update(self, heartbeats: Iterable[Heartbeat], now: timedelta) -> None:
         """Take a whole reading of the table."""
-        if (
-            self.last_read is None
-            or now - self.last_read > self.timing.longest_gap
-        ):
-            self.restart(now)
+        if self.last_read is not None:
+            if now - self.last_read > self.timing.longest_gap:
+                self.restart(self.last_read, now)
         self.last_read = now
         for heartbeat in heartbeats:
             self.take(heartbeat, now)
@@ -120,10 +130,11 @@
                 return
         self.sightings[heartbeat.host] = Sighting(heartbeat, now)
 
-    def restart(self, now: timedelta) -> None:
-        """Give all hosts their full time again."""
+    def restart(self, last_read: timedelta, now: timedelta) -> None:
+        """Give the hosts that lived at the last read their full time again."""
         for sighting in self.sightings.values():
-            sighting.since = now
+            if last_read - sighting.since <= self.timing.dead_after:
+                sighting.since = now
 
     def is_dead(self, owner: str, now: timedelta) -> bool:
         """Tell whether the process called ``owner`` lives no more."""
--- a/packages/policy/tests/test_fleets.py
+++ b/packages/policy/tests/test_fleets.py
@@ -111,3 +111,13 @@
     slowest = max(durations)
     if durations.count(slowest) == 1:
         assert chosen.seconds < slowest
+
+
+def test_a_registration_that_says_the_same_is_no_news():
+    fleet = Fleet()
+    assert fleet.register(make())
+    assert not fleet.register(make())
+    assert fleet.register(make(leaving=True))
+    assert fleet.register(make(leaving=True, born=5))
+    fleet.remove('t1', NOW, GRACE)
+    assert fleet.register(make(leaving=True, born=5))
--- a/packages/policy/tests/test_presences.py
+++ b/packages/policy/tests/test_presences.py
@@ -5,7 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from sequoia_policy.presences import (
+    FEEDS,
     HEARTBEATS_PER_SECOND,
+    SHORTEST_FEED_PERIOD,
     Heartbeat,
     PresenceTable,
     Timing,
@@ -78,6 +80,20 @@
     assert not table.is_dead('h1/b1', later)
 
 
+def test_a_host_that_was_dead_before_a_gap_stays_dead():
+    """Else work is given to it again after each outage of the store."""
+    table = PresenceTable()
+    table.update([beat(1)], START)
+    now = read_for(table, beat(1), START, DEAD_AFTER + STEP)
+    assert table.is_dead('h1/b1', now)
+    later = now + 2 * LONGEST_GAP
+    table.update([beat(1)], later)
+    assert table.is_dead('h1/b1', later)
+    assert table.live_owners(later) == []
+    table.update([beat(2)], later + STEP)
+    assert not table.is_dead('h1/b1', later + STEP)
+
+
 def test_an_unknown_owner_is_dead_only_once_the_table_was_read():
     table = PresenceTable()
     assert not table.is_dead('h9/b9', START)
@@ -103,3 +119,12 @@
         if best is None or count > best:
             best, shown = count, now
         assert table.is_dead('h1/b1', now) == (now - shown > DEAD_AFTER)
+
+
+def test_reads_of_all_hosts_keep_to_their_share_of_the_store():
+    assert Timing(10).feed_period == SHORTEST_FEED_PERIOD
+    for hosts in (30, 100, 390):
+        timing = Timing(hosts)
+        feeds = FEEDS / timing.feed_period.total_seconds()
+        heartbeats = 1 / timing.period.total_seconds()
+        assert hosts * (feeds + heartbeats) <= 2000
--- a/packages/rollouts/sequoia_rollouts/directories.py
+++ b/packages/rollouts/sequoia_rollouts/directories.py
@@ -64,13 +64,15 @@
     """The configuration in force, the targets and the named versions.
 
     Attributes:
+        find_period: Returns the shortest time between two reads of changes.
         versions: Newest version that was named, by model.
-        observers: Called after each change.
+        observers: Called after operators changed something.
     """
 
     store: Store
     clock: Clock
     reader: DirectoryReader
+    find_period: Callable[[], timedelta]
     fleet: Fleet = field(factory=Fleet)
     configuration: Configuration = field(factory=Configuration)
     versions: dict[str, int] = field(factory=dict)
@@ -86,6 +88,7 @@
             self.reader.operator_table,
             self._take_operator_rows,
             self._take_operator_row,
+            self.find_period,
         )
         self.targets = TableFollower(
             self.store,
@@ -93,6 +96,7 @@
             self.reader.targets_table,
             self._take_targets,
             self._take_target,
+            self.find_period,
         )
 
     @property
@@ -162,7 +166,6 @@
         now = self.clock.elapsed()
         self.fleet.replace_all(present, now, self._find_grace())
         TARGETS_LISTED.write(count=len(present))
-        self._notify()
 
     async def _take_target(self, row: Row) -> None:
         now = self.clock.elapsed()
@@ -170,13 +173,11 @@
         if registration is None:
             self.fleet.remove(row.key.key, now, self._find_grace())
             TARGET_GONE.write(target=row.key.key)
-        else:
-            self.fleet.register(registration)
+        elif self.fleet.register(registration):
             TARGET_REGISTERED.write(
                 target=registration.name,
                 leaving=registration.leaving,
             )
-        self._notify()
 
     def _find_grace(self) -> timedelta:
         """Return how long a target whose registration went may still live.
--- a/packages/rollouts/sequoia_rollouts/followers.py
+++ b/packages/rollouts/sequoia_rollouts/followers.py
@@ -38,6 +38,7 @@
         parts: Parts that a listing reads.
         on_listing: Takes all rows, also after history was lost.
         on_change: Takes one changed or removed row.
+        find_period: Returns the shortest time between two reads of changes.
         version: Version up to which changes were taken; None before the
             first listing.
         in_touch: When the store last answered.
@@ -49,6 +50,7 @@
     table: str
     on_listing: Callable[[tuple[Row, ...]], Awaitable[None]]
     on_change: Callable[[Row], Awaitable[None]]
+    find_period: Callable[[], timedelta]
     parts: tuple[str, ...] = ('',)
     version: int | None = None
     in_touch: timedelta | None = None
@@ -105,10 +107,14 @@
         return await read_all(self.store, RowRange(self.table, part))
 
     async def _follow(self, after: int) -> None:
+        started = self.clock.elapsed()
         changes = await self.store.follow(self.table, after, FOLLOW_PATIENCE)
         for row in changes.rows:
             await self.on_change(row)
         self.version = max(after, changes.version)
+        left = started + self.find_period() - self.clock.elapsed()
+        if left > timedelta():
+            await curio.sleep(left.total_seconds())
 
     def _is_cut_off(self) -> bool:
         if self.troubled is None or self.in_touch is None:
--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/heartbeats.py
@@ -65,6 +65,10 @@
             return None
         return self.clock.elapsed() - self.answered
 
+    def find_feed_period(self) -> timedelta:
+        """Return the shortest time between reads of a table's changes."""
+        return self.presences.timing.feed_period
+
     def holds_lease(self) -> bool:
         """Tell whether no other host can think that this one is dead."""
         if self.renewed is None:
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -90,7 +90,12 @@
         """Create all parts."""
         store = self.outside.store
         self.heartbeats = HeartbeatKeeper(store, self.clock, self.settings.name)
-        self.directory = Directory(store, self.clock, self.outside.reader)
+        self.directory = Directory(
+            store,
+            self.clock,
+            self.outside.reader,
+            self.heartbeats.find_feed_period,
+        )
         self.directory.observers.append(self._take_limits)
         self.board = OwnershipBoard(
             store,
@@ -121,6 +126,7 @@
             sender,
             self.chance,
             self.settings.domain,
+            lambda: self.peers.is_cut_off,
         )
         self.desk = SubmissionDesk(
             store,
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -1,14 +1,12 @@
 """The live path: find the route, choose a target, send, check, answer."""
 
 import random
-from datetime import timedelta
-
+from collections.abc import Callable
 from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.routing import Route
-from sequoia_policy.verdicts import Verdict
 from sequoia_wire.answers import AnswerSink
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Answer
@@ -19,15 +17,12 @@
     LiveAttempts,
     LiveRequest,
 )
+from sequoia_rollouts.live_races import FIRST_ERROR, Racer, find_error
 from sequoia_rollouts.live_retries import LiveRetries
 from sequoia_rollouts.live_streams import LiveStream, StreamRelay
 from sequoia_rollouts.live_targets import LiveTargets
 from sequoia_rollouts.senders import LabelledAnswer, Sender
 
-FIRST_ERROR = 500
-OBJECTIVES_BEFORE_RESEND = 2.0  # time of an attempt that has a successor
-SHORTEST_ATTEMPT = timedelta(milliseconds=250)
-
 log = Log('live')
 REQUEST_ANSWERED = log.event(
     'request answered',
@@ -44,15 +39,21 @@
 
 @define
 class LivePath:
-    """Answers live requests with the answers of targets."""
+    """Answers live requests with the answers of targets.
+
+    Attributes:
+        is_cut_off: Tells whether other hosts serve callers better.
+    """
 
     clock: Clock
     directory: Directory
     sender: Sender
     chance: random.Random
     domain: str
+    is_cut_off: Callable[[], bool]
     targets: LiveTargets = field(init=False)
     retries: LiveRetries = field(init=False)
+    racer: Racer = field(init=False)
     relay: StreamRelay = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -64,6 +65,13 @@
             self.domain,
         )
         self.retries = LiveRetries(self.clock, self.targets)
+        self.racer = Racer(
+            self.clock,
+            self.targets,
+            self.retries,
+            self._send,
+            self.is_cut_off,
+        )
         self.relay = StreamRelay(
             self.clock,
             self.sender,
@@ -129,13 +137,17 @@
         )
 
     async def _try_once(self, attempts: LiveAttempts) -> Answer | None:
-        target = self.targets.choose(attempts)
-        try:
-            labelled = await self._send(attempts, target)
-        except ShedError as failure:
-            await self.retries.take_failure(attempts, target, failure)
+        """Return an answer, or None if the request is tried again."""
+        labelled = await self.racer.run(attempts)
+        if labelled is None:
             return None
-        return self._take_answer(attempts, target, labelled)
+        failure = find_error(labelled, attempts.target)
+        if failure is None:
+            return labelled.answer
+        attempts.note_failure(attempts.target, failure)
+        if self.retries.allows(attempts, failure):
+            return None
+        return labelled.answer
 
     async def _send(
         self,
@@ -144,50 +156,21 @@
     ) -> LabelledAnswer:
         now = self.clock.elapsed()
         left = attempts.end - now
-        patience = left
-        if attempts.has_successor:
-            objective = attempts.route.objective * OBJECTIVES_BEFORE_RESEND
-            patience = min(left, max(SHORTEST_ATTEMPT, objective))
         target.running += 1
         try:
             labelled = await self.sender.fetch(
                 target,
                 attempts.request.outgoing,
-                patience,
+                left,
                 left,
             )
         finally:
             target.running -= 1
         took = self.clock.elapsed() - now
         target.record_duration(took.total_seconds(), self.clock.elapsed())
-        self._check_answer(labelled)
+        check_proof(labelled)
         return labelled
 
-    def _check_answer(self, labelled: LabelledAnswer) -> None:
-        """Refuse a success without proof that the target made it."""
-        if labelled.answer.status >= FIRST_ERROR:
-            return
-        if not labelled.labels.receipt or not labelled.labels.request_id:
-            raise ShedError(Code.WRONG_ANSWER, 'no receipt')
-
-    def _take_answer(
-        self,
-        attempts: LiveAttempts,
-        target: FleetTarget,
-        labelled: LabelledAnswer,
-    ) -> Answer | None:
-        """Return an answer, or None if an error is worth another attempt."""
-        answer = labelled.answer
-        if answer.status < FIRST_ERROR:
-            return answer
-        failed = ShedError(
-            Code.TARGET_BROKE,
-            f'{target.name} answered {answer.status}',
-            verdict=Verdict.RAN,
-        )
-        attempts.note_failure(target, failed)
-        return None if self.retries.allows(attempts, failed) else answer
-
     def _log_answer(self, attempts: LiveAttempts, answer: Answer) -> None:
         request = attempts.request
         took = self.clock.elapsed() - request.arrived
@@ -200,3 +183,15 @@
             seconds=took.total_seconds(),
             config_version=self.directory.configuration.version,
         )
+
+
+def check_proof(labelled: LabelledAnswer) -> None:
+    """Refuse a success without proof that the target made it.
+
+    Raises:
+        ShedError: With code WRONG_ANSWER.
+    """
+    if labelled.answer.status >= FIRST_ERROR:
+        return
+    if not labelled.labels.receipt or not labelled.labels.request_id:
+        raise ShedError(Code.WRONG_ANSWER, 'no receipt')
--- a/packages/rollouts/sequoia_rollouts/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live_attempts.py
@@ -4,7 +4,6 @@
 
 from attrs import define, field, frozen
 from sequoia_policy.errors import ShedError
-from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.retries import AttemptFacts
 from sequoia_policy.routing import Route
 from sequoia_policy.verdicts import Verdict, merge_verdicts
@@ -65,9 +64,9 @@
             self.route.may_repeat and self.count + 1 < self.route.max_attempts
         )
 
-    def note_failure(self, target: FleetTarget, failure: ShedError) -> None:
+    def note_failure(self, target: str, failure: ShedError) -> None:
         """Count an attempt that ended without an answer."""
-        self.tried.add(target.name)
+        self.tried.add(target)
         self.verdict = merge_verdicts(self.verdict, failure.verdict)
         if failure.verdict is Verdict.NOT_RUN:
             self.refusals += 1
--- a/packages/rollouts/sequoia_rollouts/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live_streams.py
@@ -201,7 +201,7 @@
         if stream.attempts.started:
             raise failed
         if head.status >= FIRST_ERROR:
-            stream.attempts.note_failure(target, failed)
+            stream.attempts.note_failure(target.name, failed)
             if self.retries.allows(stream.attempts, failed):
                 return None
         stream.done = True
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -62,6 +62,20 @@
         attempts.target = target.name
         return target
 
+    def find_other(
+        self,
+        attempts: LiveAttempts,
+        first: FleetTarget,
+    ) -> FleetTarget | None:
+        """Return a target beside the one that is asked, or None."""
+        now = self.clock.elapsed()
+        usable = self.directory.fleet.usable(attempts.service, now)
+        asked = {first.name, *attempts.tried}
+        others = [one for one in usable if one.name not in asked]
+        if not others:
+            return None
+        return choose_of_two(others, now, self.chance)
+
     def take_failure(
         self,
         attempts: LiveAttempts,
@@ -70,7 +84,7 @@
     ) -> None:
         """Learn from a failed attempt, count it and log it."""
         self._learn(target, failure)
-        attempts.note_failure(target, failure)
+        attempts.note_failure(target.name, failure)
         ATTEMPT_FAILED.write(
             request_id=attempts.request.outgoing.id,
             target=target.name,
--- a/packages/rollouts/sequoia_rollouts/owners.py
+++ b/packages/rollouts/sequoia_rollouts/owners.py
@@ -93,6 +93,7 @@
             OWNERSHIP,
             self._take_rows,
             self._take_row,
+            self.heartbeats.find_feed_period,
             SHARDS,
         )
 
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -186,10 +186,22 @@
 
 @define(eq=False)
 class PlainStandin(EngineStandin):
-    """A plain server that answers each request at once."""
+    """A plain server that answers each request at once.
+
+    Attributes:
+        first_delay: Seconds that the first request takes, at whichever of
+            the servers it arrives.
+        others: All servers of the site, if the first request is told apart.
+        refuses_second: Whether the server refuses if another was asked first.
+        asked_first: Whether the first request came here.
+    """
 
     delay: float = 0.005
     slots: int = 4
+    first_delay: float = 0
+    others: list = field(factory=list)
+    refuses_second: bool = False
+    asked_first: bool = False
     places: curio.Semaphore = field(init=False)
 
     def __attrs_post_init__(self):
@@ -203,11 +215,25 @@
 
     async def run(self, exchange):
         request_id = exchange.head.header('attempt-id')
+        is_first = not any(one.asked_first for one in self.others)
+        self.asked_first = self.asked_first or (bool(self.others) and is_first)
+        if self.refuses_second and not self.asked_first:
+            await exchange.answer(503, headers=encode_headers({'not-run': '1'}))
+            return
         async with self.places:
             self.runs.append((request_id, exchange.head.header('deadline-ms')))
-            await curio.sleep(self.delay)
+            await self.work(exchange)
         status = 200
         if self.fail:
             self.fail -= 1
             status = 500
         await exchange.answer(status, b'done', self.stamp(request_id))
+
+    async def work(self, exchange):
+        """Take the time of a request; end early if its sender leaves."""
+        delay = self.delay
+        if self.asked_first and self.first_delay:
+            delay = self.first_delay
+        async with curio.ignore_after(delay):
+            await exchange.sock.recv(1)
+            raise ConnectionAbortedError('the host has left')
--- a/packages/rollouts/tests/sites.py
+++ b/packages/rollouts/tests/sites.py
@@ -164,6 +164,12 @@
         await host.status.ready.listener.close()
         self.hosts.remove(host)
 
+    async def find_owner(self):
+        """Return the host that runs a submission, and another one."""
+        await wait_until(lambda: any(host.desk.runners for host in self.hosts))
+        owner = next(host for host in self.hosts if host.desk.runners)
+        return owner, next(host for host in self.hosts if host is not owner)
+
     async def call(self, host, method, path, body=b'', **headers):
         texts = {'host': AUTHORITY, 'deadline-ms': '3000', **headers}
         head = RequestHead(
--- a/packages/rollouts/tests/store_standin.py
+++ b/packages/rollouts/tests/store_standin.py
@@ -117,7 +117,7 @@
         if not held:
             return 412, {'rows': [self.show(name) for name in names]}
         written = [*fields['setKeys'], *fields['remove']]
-        assert len(written) + len(names) <= 200
+        assert len(written) + len(names) <= 100
         assert len({entry['part'] for entry in written}) == 1
         self.version += 1
         for entry in fields['setKeys']:
--- a/packages/rollouts/tests/test_path.py
+++ b/packages/rollouts/tests/test_path.py
@@ -136,11 +136,7 @@
     async def main():
         async with open_site(hosts=2, pace=0.2) as site:
             await site.submit(site.hosts[0])
-            await wait_until(
-                lambda: any(host.desk.runners for host in site.hosts)
-            )
-            owner = next(host for host in site.hosts if host.desk.runners)
-            other = next(host for host in site.hosts if host is not owner)
+            owner, other = await site.find_owner()
             clock = other.clock
             await site.kill(owner)
             killed = clock.elapsed()
@@ -172,11 +168,7 @@
     async def main():
         async with open_site(hosts=2, pace=1.2) as site:
             await site.submit(site.hosts[0])
-            await wait_until(
-                lambda: any(host.desk.runners for host in site.hosts)
-            )
-            owner = next(host for host in site.hosts if host.desk.runners)
-            other = next(host for host in site.hosts if host is not owner)
+            owner, other = await site.find_owner()
             stopping = await curio.spawn(owner.shut_down)
             await curio.sleep(0.1)
             assert not owner.is_ready
--- a/packages/rollouts/tests/test_progress.py
+++ b/packages/rollouts/tests/test_progress.py
@@ -69,9 +69,7 @@
 
 async def kill_owner(site, seconds):
     """Kill the owner of a submission after a while; return another host."""
-    await wait_until(lambda: any(host.desk.runners for host in site.hosts))
-    owner = next(host for host in site.hosts if host.desk.runners)
-    other = next(host for host in site.hosts if host is not owner)
+    owner, other = await site.find_owner()
     await curio.sleep(seconds)
     await site.kill(owner)
     return other
--- a/packages/rollouts/tests/test_upkeep.py
+++ b/packages/rollouts/tests/test_upkeep.py
@@ -5,7 +5,7 @@
 import curio
 from attrs import evolve
 from sequoia_rollouts.parts import keep_running
-from sites import open_site
+from sites import open_site, wait_until
 
 
 def test_a_loop_goes_on_after_an_error_that_it_did_not_expect():
@@ -54,3 +54,29 @@
     assert kept == 6
     assert status == 404
     assert rows == []
+
+
+def test_a_table_that_changes_all_the_time_is_read_now_and_then():
+    """Engines write their entries each second; each change ends a read."""
+
+    async def main():
+        async with open_site(engines=1) as site:
+            host = site.hosts[0]
+            await curio.sleep(0.2)
+            before = site.store.calls['/v1/rows-feed']
+            for count in range(100):
+                entry = {**site.engines[0].entry(), 'seq': count}
+                site.store.put('servers', 'e0', entry)
+                await curio.sleep(0.01)
+            entry = site.engines[0].entry(state='draining')
+            site.store.put('servers', 'e0', entry)
+            target = host.directory.fleet.targets['e0']
+            changed = host.clock.elapsed()
+            await wait_until(lambda: target.registration.leaving)
+            return site.store.calls[
+                '/v1/rows-feed'
+            ] - before, host.clock.elapsed() - changed
+
+    feeds, took = curio.run(main)
+    assert feeds < 45
+    assert took < timedelta(milliseconds=200)
--- a/packages/standins/sequoia_standins/cli.py
+++ b/packages/standins/sequoia_standins/cli.py
@@ -12,7 +12,7 @@
 from sequoia_wire.clocks import SystemClock
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.messages import read_address
-from sequoia_wire.platform import TargetStatus
+from sequoia_wire.environment import TargetStatus
 from sequoia_wire.servers import Handler, HttpServer
 
 from sequoia_standins.demos import Demo, prepare_folder
--- a/packages/standins/sequoia_standins/engines.py
+++ b/packages/standins/sequoia_standins/engines.py
@@ -12,7 +12,7 @@
 from sequoia_wire.generations import Generation, TokenChunk
 from sequoia_wire.messages import encode_headers
 from sequoia_wire.orders import is_genuine
-from sequoia_wire.platform import Order, TargetStatus
+from sequoia_wire.environment import Order, TargetStatus
 
 from sequoia_standins.caches import PREFIX, CacheKeeper
 from sequoia_standins.slots import SlotQueue
--- a/packages/standins/sequoia_standins/fakes.py
+++ b/packages/standins/sequoia_standins/fakes.py
@@ -8,7 +8,7 @@
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.messages import Address
-from sequoia_wire.platform import (
+from sequoia_wire.environment import (
     Row,
     RowWrite,
     TableQuery,
--- a/packages/standins/sequoia_standins/plain.py
+++ b/packages/standins/sequoia_standins/plain.py
@@ -11,7 +11,7 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.exchanges import Exchange
 from sequoia_wire.messages import encode_headers
-from sequoia_wire.platform import (
+from sequoia_wire.environment import (
     Score,
     Scoring,
     TargetStatus,
--- a/packages/standins/sequoia_standins/stores.py
+++ b/packages/standins/sequoia_standins/stores.py
@@ -9,7 +9,7 @@
 from sequoia_wire.clocks import SystemClock
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.exchanges import Exchange
-from sequoia_wire.platform import (
+from sequoia_wire.environment import (
     ABSENT,
     Row,
     RowWrite,
--- a/packages/wire/sequoia_wire/environment.py
+++ b/packages/wire/sequoia_wire/environment.py
@@ -1,4 +1,4 @@
-"""Messages of the platform: table, objects, hosts list, weights."""
+"""Messages of the systems around a host: table, objects, targets, weights."""
 
 from attrs import field, frozen
 
--- a/packages/wire/sequoia_wire/orders.py
+++ b/packages/wire/sequoia_wire/orders.py
@@ -6,7 +6,7 @@
 from attrs import evolve
 
 from sequoia_wire.codecs import encode
-from sequoia_wire.platform import Order
+from sequoia_wire.environment import Order
 
 DIGEST_SIZE = 32  # bytes
 
--- a/packages/wire/sequoia_wire/stores.py
+++ b/packages/wire/sequoia_wire/stores.py
@@ -11,7 +11,7 @@
 from sequoia_wire.clients import HttpClient, Patience
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.messages import Address, Answer, RequestHead
-from sequoia_wire.platform import (
+from sequoia_wire.environment import (
     ABSENT,
     Row,
     RowWrite,
--- a/packages/wire/tests/test_stores.py
+++ b/packages/wire/tests/test_stores.py
@@ -11,7 +11,7 @@
 from sequoia_standins.ports import find_free_address
 from sequoia_standins.stores import StoreFaults, StoreStandin
 from sequoia_wire.messages import Address
-from sequoia_wire.platform import (
+from sequoia_wire.environment import (
     ABSENT,
     RowWrite,
     TableQuery,
