--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -19,9 +19,10 @@
 )
 from sequoia_rollouts.live_races import FIRST_ERROR, Racer, find_error
 from sequoia_rollouts.live_retries import LiveRetries
-from sequoia_rollouts.live_streams import LiveStream, StreamRelay
+from sequoia_rollouts.live_streams import StreamRelay
 from sequoia_rollouts.live_targets import LiveTargets
 from sequoia_rollouts.senders import LabelledAnswer, Sender
+from sequoia_rollouts.streams import LiveStream
 
 log = Log('live')
 REQUEST_ANSWERED = log.event(
--- a/packages/rollouts/sequoia_rollouts/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live_streams.py
@@ -7,12 +7,11 @@
 
 from datetime import timedelta
 
-from attrs import define, frozen
+from attrs import frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ShedError
 from sequoia_policy.fleets import FleetTarget
 from sequoia_policy.verdicts import Verdict
-from sequoia_wire.answers import AnswerSink
 from sequoia_wire.clients import Call, Patience, limit_call
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Answer, AnswerHead
@@ -28,6 +27,12 @@
     Sender,
     strip_own_headers,
 )
+from sequoia_rollouts.streams import (
+    LiveStream,
+    StreamRun,
+    check_order,
+    read_events,
+)
 
 OK = 200
 FIRST_ERROR = 500
@@ -60,44 +65,6 @@
 )
 
 
-@define
-class LiveStream:
-    """A stream as far as its caller has it.
-
-    Attributes:
-        last_number: Id of the last event that the caller has; empty if none.
-        version: Weight version of that event, None if it is not known.
-        events: Events that were passed on.
-        first_event: Time from the request to the first of them.
-        done: Whether the stream was passed on whole.
-    """
-
-    attempts: LiveAttempts
-    sink: AnswerSink
-    last_number: str = ''
-    version: int | None = None
-    events: int = 0
-    first_event: timedelta | None = None
-    done: bool = False
-
-
-@define
-class StreamRun:
-    """One engine's part of a stream.
-
-    Attributes:
-        version: Weight version that the engine generates with.
-        last_number: Id of its last event; empty before the first.
-    """
-
-    call: Call
-    head: AnswerHead
-    reader: EventReader
-    meter: PaceMeter
-    version: int | None
-    last_number: str = ''
-
-
 @frozen
 class StreamRelay:
     """Brings streams from engines to callers."""
@@ -320,27 +287,3 @@
             seconds=took.total_seconds(),
             config_version=self.targets.directory.configuration.version,
         )
-
-
-def read_events(reader: EventReader, chunk: bytes) -> list[StreamEvent]:
-    """Return the whole events that a chunk completes.
-
-    Raises:
-        ShedError: If they cannot be read.
-    """
-    try:
-        return reader.feed(chunk)
-    except ValueError as bad:
-        raise ShedError(Code.WRONG_ANSWER, 'not an event') from bad
-
-
-def check_order(last: str, number: str) -> None:
-    """Check that an event follows the last one.
-
-    Raises:
-        ShedError: If it does not, so that no event comes twice.
-    """
-    if not number.isdecimal():
-        raise ShedError(Code.WRONG_ANSWER, f'event id {number!r}')
-    if last.isdecimal() and int(number) <= int(last):
-        raise ShedError(Code.WRONG_ANSWER, f'event {number} after {last}')
