Make a generation at one engine only

Cause: found in reading: a live request without a stream may be a generation, and a second send would have had two engines work on it at a time, which the users' rules forbid for what goes on elsewhere and which costs an engine's places. Second sends now go to plain services only. The new test has both engines run the request before.

--- a/packages/rollouts/sequoia_rollouts/live_races.py
+++ b/packages/rollouts/sequoia_rollouts/live_races.py
@@ -2,6 +2,7 @@
 
 The load it answers: few requests, some of them at a target that is silent or
 far slower than the others. Nothing but the request itself shows that in time.
+A generation is never made at two engines at a time.
 """
 
 from collections.abc import Awaitable, Callable
@@ -60,6 +61,7 @@
 
     Attributes:
         patience: Time after which a send counts as slow.
+        may_repeat: Whether the request may run at two targets at a time.
         started: When the newest send began.
         running: Where each send goes.
     """
@@ -67,15 +69,16 @@
     attempts: LiveAttempts
     group: curio.TaskGroup
     patience: timedelta
+    may_repeat: bool
     started: timedelta = timedelta()
     running: dict[curio.Task, FleetTarget] = field(factory=dict)
 
     @property
     def may_double(self) -> bool:
         """Whether one send is under way and another is allowed."""
-        attempts = self.attempts
-        if len(self.running) > 1 or not attempts.route.may_repeat:
+        if len(self.running) > 1 or not self.may_repeat:
             return False
+        attempts = self.attempts
         return attempts.count + 1 < attempts.route.max_attempts
 
 
@@ -105,7 +108,13 @@
         first = self.targets.choose(attempts)
         patience = self.durations.find_patience(attempts.route)
         async with curio.TaskGroup(wait=None) as group:
-            race = Race(attempts, group, patience)
+            race = Race(
+                attempts,
+                group,
+                patience,
+                attempts.route.may_repeat
+                and not self.targets.are_engines(attempts.service),
+            )
             await self._start(race, first)
             labelled = await self._finish(race)
         if labelled is not None:
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -62,6 +62,11 @@
         attempts.target = target.name
         return target
 
+    def are_engines(self, service_name: str) -> bool:
+        """Tell whether the targets of a service are model engines."""
+        service = self.directory.configuration.find_service(service_name)
+        return service is not None and bool(service.models)
+
     def find_other(
         self,
         attempts: LiveAttempts,
--- a/packages/rollouts/tests/test_races.py
+++ b/packages/rollouts/tests/test_races.py
@@ -3,9 +3,10 @@
 from datetime import timedelta
 
 import curio
+from engine_standin import SERVICE
 from sequoia_policy.routing import Route, RouteKind
 from sequoia_rollouts.live_races import Durations
-from sites import open_site, wait_until
+from sites import make_manifest, open_site, wait_until
 
 OBJECTIVE = timedelta(milliseconds=200)  # of the routes of the site
 ROUTE = Route(
@@ -58,6 +59,28 @@
     assert len(runs) == 1
 
 
+def test_a_generation_is_made_at_one_engine():
+    async def main():
+        async with open_site(pace=0.15) as site:
+            manifest = make_manifest(version=4)
+            live = manifest['routes'][1]
+            manifest['routes'].append(
+                {**live, 'pathPrefix': '/whole/', 'service': SERVICE},
+            )
+            site.store.put('op', 'config', manifest)
+            host = site.hosts[0]
+            await wait_until(
+                lambda: host.directory.configuration.version == 4,
+            )
+            answer, _took = await call_timed(site, '/whole/a')
+            runs = [run for engine in site.engines for run in engine.runs]
+            return answer, runs
+
+    answer, runs = curio.run(main)
+    assert answer.status == 200
+    assert runs == [('r1', 1)]
+
+
 def test_a_request_with_one_target_waits_for_it():
     def prepare(site):
         site.scorers[0].delay = 0.5
