Let a few hosts per failure domain hold leases instead of all hosts

Cause: all hosts wrote heartbeats into one partition of the store, which takes 150 transactions a second. A second cause: a process that the last read had not listed counted as dead, so that each host took work from owners that had started after its read. One malformed heartbeat also ended every read of the table.

Change: three leases per failure domain, claimed and renewed by conditional writes. Only their holders (coordinators) own submissions and duties, write heartbeats and watch each other; the others read the leases every 2 s. A process counts as dead only after its silence, or if its own host replaced it. The store's rates come with the settings and are split in one place (rates.py); the number of hosts is counted by the coordinators. Peers are queried only while the store is silent. Rows that cannot be decoded are skipped with a log line.

Ruled out: more partitions of heartbeats of all hosts (each host would still read all rows: bytes grow with the square of the hosts).

--- a/packages/policy/sequoia_policy/liveness.py
+++ b/packages/policy/sequoia_policy/liveness.py
@@ -1,25 +1,26 @@
-"""Failure detection of hosts from the heartbeats in the shared table."""
+"""Failure detection of coordinators from the heartbeats in their leases."""
 
 from collections.abc import Iterable
 from datetime import timedelta
 
 from attrs import define, field, frozen
 
-MIN_INTERVAL = timedelta(milliseconds=400)
-HEARTBEATS_PER_SECOND = 250  # total of all hosts
-MIN_FEED_INTERVAL = timedelta(milliseconds=50)
-FEED_READS_PER_SECOND = 1200  # total of all hosts
-FEEDS_PER_HOST = 3  # tables that each host follows
+from sequoia_policy.rates import MIN_HEARTBEAT_INTERVAL
+
 INTERVALS_TO_DEATH = 3.5
 INTERVALS_OF_LEASE = 2.5  # less than INTERVALS_TO_DEATH
 INTERVALS_OF_GAP = 3.0  # after a longer gap in reads, silence is not counted
+OBSERVER_READ_INTERVAL = timedelta(seconds=2)
+# An observer counts a host as dead only after two reads without a heartbeat.
+OBSERVER_READS_TO_DEATH = 1.75
+OBSERVER_READS_OF_GAP = 1.5
 FORGET_AFTER = timedelta(seconds=60)
 ADOPTION_STAGGER = timedelta(milliseconds=200)
 
 
 @frozen
 class Heartbeat:
-    """The row that a host rewrites periodically to show that it is alive.
+    """What a host writes periodically into its lease to show that it is alive.
 
     Attributes:
         host: Name of the host.
@@ -28,6 +29,9 @@
         draining: Whether the host is shutting down.
         domain: Failure domain of the host.
         address: Address for other hosts; empty if it accepts none.
+        previous: The ``boot`` of the process of the same host from which this
+            one took over the lease; empty if there was none.
+        hosts: Number of hosts of the failure domain; 0 if not counted yet.
     """
 
     host: str
@@ -36,6 +40,8 @@
     draining: bool = False
     domain: str = ''
     address: str = ''
+    previous: str = ''
+    hosts: int = 0
 
     @property
     def owner(self) -> str:
@@ -45,41 +51,42 @@
 
 @define
 class ObservedHeartbeat:
-    """The newest heartbeat of a host and when it was first observed."""
+    """The newest heartbeat of a host and when it was first observed.
+
+    Attributes:
+        replaced: Earlier boots of the host, which have ended.
+    """
 
     heartbeat: Heartbeat
     observed_at: timedelta
+    replaced: frozenset[str] = frozenset()
 
 
 @frozen
-class HeartbeatTiming:
-    """Intervals and timeouts of heartbeats for a number of hosts.
+class LivenessTiming:
+    """Intervals and timeouts of failure detection.
 
-    The interval grows with the number of hosts, so that heartbeats do not use
-    up the write rate of the store.
+    Attributes:
+        interval: Interval between two heartbeats of a lease holder.
+        observes_only: Whether this host holds no lease and reads seldom.
     """
 
-    hosts: int = 1
-
-    @property
-    def interval(self) -> timedelta:
-        """Interval between two heartbeats of a host."""
-        shared = timedelta(seconds=self.hosts / HEARTBEATS_PER_SECOND)
-        return max(MIN_INTERVAL, shared)
+    interval: timedelta = MIN_HEARTBEAT_INTERVAL
+    observes_only: bool = False
 
     @property
-    def feed_interval(self) -> timedelta:
-        """Minimum interval between two reads of the changes of a table."""
-        reads = self.hosts * FEEDS_PER_HOST
-        return max(
-            MIN_FEED_INTERVAL,
-            timedelta(seconds=reads / FEED_READS_PER_SECOND),
-        )
+    def read_interval(self) -> timedelta:
+        """Interval between two reads of all leases."""
+        return OBSERVER_READ_INTERVAL if self.observes_only else self.interval
 
     @property
     def dead_after(self) -> timedelta:
         """Time without a heartbeat after which a host counts as dead."""
-        return self.interval * INTERVALS_TO_DEATH
+        silence = self.interval * INTERVALS_TO_DEATH
+        if self.observes_only:
+            reads = OBSERVER_READ_INTERVAL * OBSERVER_READS_TO_DEATH
+            return max(silence, reads)
+        return silence
 
     @property
     def lease_length(self) -> timedelta:
@@ -89,7 +96,10 @@
     @property
     def max_gap(self) -> timedelta:
         """Maximum time between two reads for silence to be counted."""
-        return self.interval * INTERVALS_OF_GAP
+        gap = self.interval * INTERVALS_OF_GAP
+        if self.observes_only:
+            return max(gap, OBSERVER_READ_INTERVAL * OBSERVER_READS_OF_GAP)
+        return gap
 
 
 def name_owner(host: str, boot: str) -> str:
@@ -99,56 +109,70 @@
 
 @define
 class LivenessTable:
-    """Newest heartbeats of all hosts, as read by one host.
+    """Newest heartbeats of all lease holders, as read by one host.
 
-    Silence counts only while this host can read the table. After a gap in
-    reads the timeout restarts for all hosts that were alive before the gap.
+    Silence counts only while this host can read the leases. After a gap in
+    reads the timeout restarts for all hosts that were alive before the gap. A
+    process without a lease counts as dead only after the same timeout: it may
+    have started after the last read.
 
     Attributes:
         observed: Newest heartbeats by host.
-        last_read: When the table was last read; None if never.
+        missing_since: When a process without a lease was first asked for, by
+            owner name.
+        last_read: When the leases were last read; None if never.
     """
 
+    timing: LivenessTiming = LivenessTiming(observes_only=True)
     observed: dict[str, ObservedHeartbeat] = field(factory=dict)
+    missing_since: dict[str, timedelta] = field(factory=dict)
     last_read: timedelta | None = None
 
-    @property
-    def timing(self) -> HeartbeatTiming:
-        """Timing for the number of known hosts."""
-        return HeartbeatTiming(len(self.observed))
+    def set_role(self, timing: LivenessTiming, now: timedelta) -> None:
+        """Change the timing; timeouts restart for all hosts that are alive."""
+        if timing == self.timing:
+            return
+        if self.last_read is not None:
+            self._restart_timeouts(self.last_read, now)
+        self.timing = timing
 
     def update(self, heartbeats: Iterable[Heartbeat], now: timedelta) -> None:
-        """Apply a full read of the table."""
+        """Apply a full read of the leases."""
         if self.last_read is not None:
             if now - self.last_read > self.timing.max_gap:
-                self.restart_timeouts(self.last_read, now)
+                self._restart_timeouts(self.last_read, now)
         self.last_read = now
         for heartbeat in heartbeats:
             self.record(heartbeat, now)
+        self._forget_expired(now)
 
     def record(self, heartbeat: Heartbeat, now: timedelta) -> None:
         """Record a heartbeat unless a newer one of the same boot is known."""
         known = self.observed.get(heartbeat.host)
-        if known and known.heartbeat.boot == heartbeat.boot:
-            if heartbeat.count <= known.heartbeat.count:
+        replaced = {heartbeat.previous}
+        if known:
+            if heartbeat.boot in known.replaced:
                 return
-        self.observed[heartbeat.host] = ObservedHeartbeat(heartbeat, now)
-
-    def restart_timeouts(self, last_read: timedelta, now: timedelta) -> None:
-        """Restart the timeout of hosts that were alive at the last read."""
-        for observation in self.observed.values():
-            if last_read - observation.observed_at <= self.timing.dead_after:
-                observation.observed_at = now
+            replaced |= known.replaced
+            if known.heartbeat.boot != heartbeat.boot:
+                replaced.add(known.heartbeat.boot)
+            elif heartbeat.count <= known.heartbeat.count:
+                return
+        self.missing_since.pop(heartbeat.owner, None)
+        self.observed[heartbeat.host] = ObservedHeartbeat(
+            heartbeat, now, frozenset(replaced - {''})
+        )
 
     def is_dead(self, owner: str, now: timedelta) -> bool:
         """Return whether a process, given by its owner name, is dead."""
-        host = owner.rpartition('/')[0]
+        host, _separator, boot = owner.rpartition('/')
         observation = self.observed.get(host)
-        if observation is None:
-            return self.last_read is not None
-        if observation.heartbeat.owner != owner:
-            return True
-        return now - observation.observed_at > self.timing.dead_after
+        if observation is not None:
+            if observation.heartbeat.boot == boot:
+                return self._is_silent(observation, now)
+            if boot in observation.replaced:
+                return True
+        return self._is_missing(owner, now)
 
     def live_owners(self, now: timedelta) -> list[str]:
         """Return the owner names of live processes that are not draining."""
@@ -156,17 +180,41 @@
             observation.heartbeat.owner
             for observation in self.observed.values()
             if not observation.heartbeat.draining
-            and now - observation.observed_at <= self.timing.dead_after
+            and not self._is_silent(observation, now)
         ]
 
-    def forget(self, host: str) -> None:
-        """Remove a host from the table."""
-        self.observed.pop(host, None)
+    def _is_silent(
+        self, observation: ObservedHeartbeat, now: timedelta
+    ) -> bool:
+        return now - observation.observed_at > self.timing.dead_after
 
-    def list_expired(self, now: timedelta) -> list[str]:
-        """Return the hosts whose heartbeats can be deleted."""
-        return [
+    def _is_missing(self, owner: str, now: timedelta) -> bool:
+        if self.last_read is None:
+            return False
+        since = self.missing_since.setdefault(owner, now)
+        return now - since > self.timing.dead_after
+
+    def _restart_timeouts(self, last_read: timedelta, now: timedelta) -> None:
+        """Restart the timeouts of hosts that were alive at the last read."""
+        for observation in self.observed.values():
+            if not self._is_silent(observation, last_read):
+                observation.observed_at = now
+        for owner, since in self.missing_since.items():
+            if last_read - since <= self.timing.dead_after:
+                self.missing_since[owner] = now
+
+    def _forget_expired(self, now: timedelta) -> None:
+        expired = [
             host
             for host, observation in self.observed.items()
             if now - observation.observed_at > FORGET_AFTER
         ]
+        for host in expired:
+            self.observed.pop(host)
+        forgotten = [
+            owner
+            for owner, since in self.missing_since.items()
+            if now - since > FORGET_AFTER
+        ]
+        for owner in forgotten:
+            self.missing_since.pop(owner)
--- /dev/null
+++ b/packages/policy/sequoia_policy/rates.py
@@ -0,0 +1,42 @@
+"""Splits the platform's call rates among all hosts."""
+
+from datetime import timedelta
+
+from attrs import frozen
+
+MIN_FEED_INTERVAL = timedelta(milliseconds=50)
+FEEDS_PER_HOST = 3  # tables that a host follows
+FEED_READS_PER_SECOND = 1200  # maximum of all hosts, whatever the store allows
+FEED_SHARE = 0.6  # of the store's reads; the rest is for results and listings
+MIN_HEARTBEAT_INTERVAL = timedelta(milliseconds=400)
+HEARTBEAT_SHARE = 0.5  # of the writes of the partition that holds the leases
+# Assumed until the number of hosts is known, so that a fleet that starts at
+# once does not exceed the rates.
+UNKNOWN_FLEET_SIZE = 200
+
+
+@frozen
+class StoreRates:
+    """Calls per second that the store accepts from all hosts together.
+
+    Attributes:
+        partition_writes: Transactions per second of one partition.
+    """
+
+    reads: float = 2000
+    partition_writes: float = 150
+
+    def find_feed_interval(self, hosts: int) -> timedelta:
+        """Return the minimum time between two reads of a table's changes.
+
+        Args:
+            hosts: Number of hosts; 0 if it is unknown.
+        """
+        reads = (hosts or UNKNOWN_FLEET_SIZE) * FEEDS_PER_HOST
+        limit = min(FEED_READS_PER_SECOND, self.reads * FEED_SHARE)
+        return max(MIN_FEED_INTERVAL, timedelta(seconds=reads / limit))
+
+    def find_heartbeat_interval(self, leases: int) -> timedelta:
+        """Return the interval between two heartbeats of a lease holder."""
+        limit = self.partition_writes * HEARTBEAT_SHARE
+        return max(MIN_HEARTBEAT_INTERVAL, timedelta(seconds=leases / limit))
--- a/packages/rollouts/sequoia_rollouts/followers.py
+++ b/packages/rollouts/sequoia_rollouts/followers.py
@@ -19,6 +19,7 @@
 )
 
 FEED_TIMEOUT = timedelta(seconds=1)
+INACTIVE_POLL_INTERVAL = timedelta(milliseconds=50)
 RETRY_BACKOFF = timedelta(milliseconds=100)
 
 log = Log('feed')
@@ -29,6 +30,11 @@
 HISTORY_LOST = log.event('history lost', 'table', kind=LogKind.FAILURE)
 
 
+def is_always_active() -> bool:
+    """Return True."""
+    return True
+
+
 @define
 class TableFollower:
     """Keeps one host's view of a table up to date.
@@ -40,6 +46,7 @@
         on_change: Receives one changed or removed row.
         find_feed_interval: Returns the minimum time between two reads of
             changes.
+        is_active: Returns whether this host needs the table now.
         version: Version up to which changes were applied; None before the
             first listing.
         store_responded_at: When the store last responded.
@@ -53,6 +60,7 @@
     on_change: Callable[[Row], Awaitable[None]]
     find_feed_interval: Callable[[], timedelta]
     partitions: tuple[str, ...] = ('',)
+    is_active: Callable[[], bool] = is_always_active
     version: int | None = None
     store_responded_at: timedelta | None = None
     store_failed_at: timedelta | None = None
@@ -61,14 +69,11 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            try:
-                await self.step()
-            except HistoryLostError:
-                HISTORY_LOST.write(table=self.table)
+            if self.is_active():
+                await self._attempt()
+            else:
                 self.version = None
-            except ServiceError as failure:
-                self._record_failure(failure)
-                await curio.sleep(RETRY_BACKOFF.total_seconds())
+                await curio.sleep(INACTIVE_POLL_INTERVAL.total_seconds())
 
     async def step(self) -> None:
         """Read a listing, or the next changes.
@@ -97,6 +102,16 @@
             return False
         return self.clock.elapsed() - self.store_failed_at < span
 
+    async def _attempt(self) -> None:
+        try:
+            await self.step()
+        except HistoryLostError:
+            HISTORY_LOST.write(table=self.table)
+            self.version = None
+        except ServiceError as failure:
+            self._record_failure(failure)
+            await curio.sleep(RETRY_BACKOFF.total_seconds())
+
     async def _list(self) -> None:
         pages = [
             await self._read_partition(partition)
--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/heartbeats.py
@@ -1,80 +1,83 @@
-"""Writes this host's heartbeat and tracks the liveness of other hosts."""
+"""Reads the leases of all coordinators and tracks their liveness."""
 
-import uuid
+from collections.abc import Iterable
 from datetime import timedelta
 
 import curio
-from attrs import define, evolve, field
+from attrs import define, field
 from sequoia_policy.clocks import Clock
+from sequoia_policy.coordinators import (
+    CoordinatorLease,
+    count_hosts,
+    find_claimable_leases,
+)
 from sequoia_policy.errors import ServiceError
-from sequoia_policy.liveness import Heartbeat, LivenessTable
-from sequoia_wire.codecs import encode
+from sequoia_policy.liveness import LivenessTable, LivenessTiming
+from sequoia_policy.rates import StoreRates
 from sequoia_wire.logs import Log, LogKind
+from sequoia_wire.messages import parse_address
 
-from sequoia_rollouts.stores import RowRange, RowWrite, Store, Transaction
-from sequoia_rollouts.tables import HOSTS, heartbeat_key, read_heartbeat
+from sequoia_rollouts.own_leases import OwnLease
+from sequoia_rollouts.stores import Row, RowRange, Store
+from sequoia_rollouts.tables import COORDINATORS, read_heartbeat
+
+FRESH_READ = timedelta(milliseconds=500)  # age up to which a read is reused
 
 log = Log('presence')
-HEARTBEAT_MISSED = log.event('heartbeat missed', 'detail', kind=LogKind.FAILURE)
+LEASES_NOT_READ = log.event('leases not read', 'detail', kind=LogKind.FAILURE)
+LEASE_IGNORED = log.event(
+    'lease ignored', 'lease', 'detail', kind=LogKind.FAILURE
+)
 
 
 @define
 class HeartbeatService:
-    """Writes this host's heartbeat and reads those of all hosts.
+    """This host's view of the coordinator leases.
 
     Attributes:
-        own_heartbeat: The heartbeat that this host writes.
-        renewed_at: When the last heartbeat that the store accepted was sent.
+        own: The lease and the heartbeat of this process.
+        leases: All leases by name, as last read.
         store_clock_offset: The store's clock minus that of this host.
         store_responded_at: When the store last responded.
     """
 
     store: Store
     clock: Clock
-    host: str
-    own_heartbeat: Heartbeat = field(init=False)
+    own: OwnLease
+    rates: StoreRates = field(factory=StoreRates)
+    leases: dict[str, CoordinatorLease] = field(factory=dict)
     liveness: LivenessTable = field(factory=LivenessTable)
-    renewed_at: timedelta | None = None
     store_clock_offset: timedelta | None = None
     store_responded_at: timedelta | None = None
 
-    def __attrs_post_init__(self) -> None:
-        """Create the heartbeat with a random id for this process."""
-        self.own_heartbeat = Heartbeat(self.host, uuid.uuid4().hex[:12], 0)
-
     @property
     def owner(self) -> str:
         """The name under which this process owns submissions and duties."""
-        return self.own_heartbeat.owner
+        return self.own.heartbeat.owner
+
+    @property
+    def is_coordinator(self) -> bool:
+        """Whether this process holds a lease."""
+        return self.own.lease is not None
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether this host is shutting down."""
+        return self.own.heartbeat.draining
 
     def store_now(self) -> timedelta:
         """Estimate the store's clock."""
         return self.clock.elapsed() + (self.store_clock_offset or timedelta())
 
-    def lease_age(self) -> timedelta | None:
-        """Return the time since the last accepted heartbeat was sent."""
-        if self.renewed_at is None:
-            return None
-        return self.clock.elapsed() - self.renewed_at
-
-    def store_age(self) -> timedelta | None:
-        """Return the time since the store last responded to this host."""
-        if self.store_responded_at is None:
-            return None
-        return self.clock.elapsed() - self.store_responded_at
-
     def find_feed_interval(self) -> timedelta:
         """Return the minimum time between reads of a table's changes."""
-        return self.liveness.timing.feed_interval
+        hosts = count_hosts(self.leases.values())
+        return self.rates.find_feed_interval(hosts)
 
     def holds_lease(self) -> bool:
         """Return whether no other host can regard this one as dead."""
-        if self.renewed_at is None:
-            return False
-        return (
-            self.clock.elapsed() - self.renewed_at
-            < self.liveness.timing.lease_length
-        )
+        age = self.own.age()
+        return age is not None and age < self.liveness.timing.lease_length
 
     def is_dead(self, owner: str) -> bool:
         """Return whether the process called ``owner`` is dead."""
@@ -83,61 +86,104 @@
         return self.liveness.is_dead(owner, self.clock.elapsed())
 
     def live_owners(self) -> list[str]:
-        """Return the live processes that may own work.
+        """Return the live coordinators that may own work.
 
-        This process is included unless it is draining.
+        This process is among them if it is one, unless it is draining.
         """
-        others = self.liveness.live_owners(self.clock.elapsed())
-        names = {*others, self.owner}
-        if self.own_heartbeat.draining:
-            names.discard(self.owner)
+        names = set(self.liveness.live_owners(self.clock.elapsed()))
+        names.discard(self.owner)
+        if self.is_coordinator and not self.is_draining:
+            names.add(self.owner)
         return sorted(names)
 
-    async def run_writer(self) -> None:
-        """Write heartbeats until cancelled."""
-        while True:
-            await self._attempt(self.write)
+    def find_claimable(self) -> list[str]:
+        """Return the names of the leases that this host may claim."""
+        return find_claimable_leases(
+            self.leases.values(), self.own.heartbeat, self.is_dead
+        )
 
     async def run_reader(self) -> None:
-        """Read heartbeats until cancelled."""
+        """Read the leases until cancelled."""
         while True:
-            await self._attempt(self.read)
-
-    async def write(self) -> None:
-        """Write one heartbeat.
-
-        Raises:
-            ServiceError: If the store did not accept it.
-        """
-        self.own_heartbeat = evolve(
-            self.own_heartbeat, count=self.own_heartbeat.count + 1
-        )
-        sent_at = self.clock.elapsed()
-        write = RowWrite(heartbeat_key(self.host), encode(self.own_heartbeat))
-        await self.store.commit(Transaction((write,)))
-        self.renewed_at = sent_at
-        self.store_responded_at = self.clock.elapsed()
+            started_at = self.clock.elapsed()
+            try:
+                await self.read()
+            except ServiceError as failure:
+                LEASES_NOT_READ.write(detail=failure.detail)
+            remaining = self.find_read_interval() - (
+                self.clock.elapsed() - started_at
+            )
+            await curio.sleep(max(0, remaining.total_seconds()))
 
     async def read(self) -> None:
-        """Read all heartbeats.
+        """Read all leases.
 
         Raises:
             ServiceError: If the store does not respond.
         """
-        page = await self.store.read(RowRange(HOSTS))
-        heartbeats = [read_heartbeat(row.body) for row in page.rows if row.body]
+        page = await self.store.read(RowRange(COORDINATORS))
         now = self.clock.elapsed()
-        self.liveness.update(heartbeats, now)
         self.store_clock_offset = page.now - now
         self.store_responded_at = now
+        self._apply(list(decode_leases(page.rows)), now)
 
-    async def _attempt(self, action: object) -> None:
-        started_at = self.clock.elapsed()
+    async def refresh(self) -> None:
+        """Read all leases unless they were read a moment ago."""
+        last_read = self.liveness.last_read
+        if last_read and self.clock.elapsed() - last_read < FRESH_READ:
+            return
         try:
-            await action()  # type: ignore[operator]
+            await self.read()
         except ServiceError as failure:
-            HEARTBEAT_MISSED.write(detail=failure.detail)
-        remaining = self.liveness.timing.interval - (
-            self.clock.elapsed() - started_at
-        )
-        await curio.sleep(max(0, remaining.total_seconds()))
+            LEASES_NOT_READ.write(detail=failure.detail)
+
+    def find_read_interval(self) -> timedelta:
+        """Return the time to the next read.
+
+        Until the first read and until all leases of the failure domain are
+        held, this host reads as often as a coordinator.
+        """
+        timing = self._find_timing()
+        if self.liveness.last_read is None or self.find_claimable():
+            return timing.interval
+        return timing.read_interval
+
+    def apply_role(self) -> None:
+        """Use the timeouts of a coordinator or of an observer."""
+        self.liveness.set_role(self._find_timing(), self.clock.elapsed())
+
+    def _apply(self, leases: list[CoordinatorLease], now: timedelta) -> None:
+        self.leases = {lease.name: lease for lease in leases}
+        self.own.compare(leases)
+        self.apply_role()
+        self.liveness.update((lease.heartbeat for lease in leases), now)
+
+    def _find_timing(self) -> LivenessTiming:
+        interval = self.rates.find_heartbeat_interval(len(self.leases))
+        return LivenessTiming(interval, observes_only=not self.is_coordinator)
+
+
+def decode_leases(rows: Iterable[Row]) -> Iterable[CoordinatorLease]:
+    """Decode leases; a row that cannot be used is logged and left out."""
+    for row in rows:
+        if row.body is None:
+            continue
+        try:
+            yield decode_lease(row)
+        except (ServiceError, ValueError) as error:
+            LEASE_IGNORED.write(lease=row.key.key, detail=str(error))
+
+
+def decode_lease(row: Row) -> CoordinatorLease:
+    """Decode a lease.
+
+    Raises:
+        ServiceError: If the row holds no heartbeat.
+        ValueError: If it names no usable host or address.
+    """
+    heartbeat = read_heartbeat(row.body or b'')
+    if not heartbeat.host or not heartbeat.boot:
+        raise ValueError('the heartbeat names no process')
+    if heartbeat.address:
+        parse_address(heartbeat.address)
+    return CoordinatorLease(row.key.key, row.version, heartbeat)
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 import curio
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_wire.clients import HttpClient
 from sequoia_wire.exchanges import Exchange, ServerLimits
@@ -14,12 +14,12 @@
 from sequoia_wire.servers import HttpServer
 
 from sequoia_rollouts.dialects import TargetDialect
+from sequoia_rollouts.coordination import Coordination
 from sequoia_rollouts.directories import Directory, DirectoryReader
 from sequoia_rollouts.heartbeats import HeartbeatService
 from sequoia_rollouts.item_runs import RunnerDependencies
 from sequoia_rollouts.live import LivePath
 from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
-from sequoia_rollouts.peers import PeerMonitor
 from sequoia_rollouts.placers import Placer
 from sequoia_rollouts.rewards import RewardCaller
 from sequoia_rollouts.scorers import ScorerQueue
@@ -74,6 +74,7 @@
     draining: bool = False
     stop_requested: curio.UniversalEvent = field(factory=curio.UniversalEvent)
     reload_requested: curio.UniversalEvent = field(factory=curio.UniversalEvent)
+    coordination: Coordination = field(init=False)
     heartbeats: HeartbeatService = field(init=False)
     directory: Directory = field(init=False)
     ownership: OwnershipTable = field(init=False)
@@ -82,15 +83,15 @@
     weights: WeightManagers = field(init=False)
     front: HttpServer = field(init=False)
     sweeper: Sweeper = field(init=False)
-    peers: PeerMonitor = field(init=False)
     status: StatusServers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create all components."""
         store = self.platform.store
-        self.heartbeats = HeartbeatService(
-            store, self.clock, self.settings.name
+        self.coordination = Coordination(
+            store, self.clock, self.settings, self.rng, self.store_age
         )
+        self.heartbeats = self.coordination.heartbeats
         self.directory = Directory(
             store,
             self.clock,
@@ -127,7 +128,7 @@
             sender,
             self.rng,
             self.settings.domain,
-            lambda: self.peers.is_cut_off,
+            lambda: self.coordination.peers.is_cut_off,
         )
         self.submission_handler = SubmissionHandler(
             store,
@@ -145,22 +146,26 @@
             self.settings.order_lease,
         )
         self.sweeper = Sweeper(store, self.clock, self.ownership)
-        self.peers = PeerMonitor(
-            self.clock,
-            self.heartbeats,
-            self.settings.domain,
-            self.settings.peer,
-            self.heartbeats.store_age,
-        )
         self.status = StatusServers(self)
 
     @property
     def is_ready(self) -> bool:
         """Whether callers should use this host."""
-        if self.draining or self.peers.is_cut_off:
+        if self.draining or self.coordination.peers.is_cut_off:
             return False
         return self.directory.is_loaded
 
+    def store_age(self) -> timedelta | None:
+        """Return the time since the store last responded to this host."""
+        responses = (
+            self.heartbeats.store_responded_at,
+            self.directory.operator_follower.store_responded_at,
+            self.directory.target_follower.store_responded_at,
+            self.ownership.follower.store_responded_at,
+        )
+        times = [time for time in responses if time is not None]
+        return self.clock.elapsed() - max(times) if times else None
+
     async def run(self, handler: Callable[[Exchange], Awaitable[None]]) -> None:
         """Serve until a signal requests the stop.
 
@@ -184,24 +189,16 @@
         self.front = HttpServer(self.settings.front, handler)
         self._apply_limits()
         self.front.open()
-        self.peers.open()
-        self.heartbeats.own_heartbeat = evolve(
-            self.heartbeats.own_heartbeat,
-            domain=self.settings.domain,
-            address=str(self.peers.address),
-        )
+        self.coordination.open()
         for loop in (
             self.front.run,
             self.directory.operator_follower.run,
             self.directory.target_follower.run,
-            self.heartbeats.run_writer,
-            self.heartbeats.run_reader,
+            *self.coordination.loops,
             self.ownership.follower.run,
             self.ownership.run_adoption,
             self.weights.run,
             self.sweeper.run,
-            self.peers.run_sender,
-            self.peers.run_receiver,
             self.run_reloads,
             self.run_log_flushes,
         ):
@@ -247,11 +244,13 @@
         """Finish what is in flight and hand the rest over."""
         self.draining = True
         self.front.closing = True
-        self.heartbeats.own_heartbeat = evolve(
-            self.heartbeats.own_heartbeat, draining=True
-        )
+        self.coordination.start_draining()
         shutdown = Shutdown(
-            self.submission_handler, self.ownership, self.weights, self.front
+            self.submission_handler,
+            self.ownership,
+            self.weights,
+            self.front,
+            self.coordination.lease_keeper,
         )
         await shutdown.run(self.settings.stop_limit)
 
--- a/packages/rollouts/sequoia_rollouts/ownership.py
+++ b/packages/rollouts/sequoia_rollouts/ownership.py
@@ -75,7 +75,10 @@
 
 @define
 class OwnershipTable:
-    """This host's copy of all ownership rows; adopts unowned submissions.
+    """This host's copy of the ownership rows; adopts unowned submissions.
+
+    Only coordinators follow the table. The other hosts know the submissions
+    that they accepted or read for a caller.
 
     Attributes:
         on_change: Called with each submission whose ownership changed.
@@ -104,6 +107,7 @@
             self._apply_row,
             self.heartbeats.find_feed_interval,
             PARTITIONS,
+            is_active=lambda: self.heartbeats.is_coordinator,
         )
 
     async def run_adoption(self) -> None:
@@ -135,11 +139,11 @@
             await self._change_owner(known, '')
 
     def choose_owner(self, key: str) -> str:
-        """Return the live process that should own work with this key.
+        """Return the live coordinator that should own work with this key.
 
         Work with the same key goes to the same host while that host is alive,
         because that host already has open connections to the targets. The
-        result is empty if no live process is known.
+        result is empty if no live coordinator is known.
         """
         live = self.heartbeats.live_owners()
         return rank_names(key, live)[0] if live else ''
@@ -174,10 +178,7 @@
         waits one ADOPTION_STAGGER longer: the first host acts at once and the
         others act only if it does not.
         """
-        if (
-            not self.heartbeats.holds_lease()
-            or self.heartbeats.own_heartbeat.draining
-        ):
+        if not self.heartbeats.holds_lease() or self.heartbeats.is_draining:
             return False
         now = self.clock.elapsed()
         since = self.unowned_since.setdefault(name, now)
--- a/packages/rollouts/sequoia_rollouts/peers.py
+++ b/packages/rollouts/sequoia_rollouts/peers.py
@@ -1,11 +1,11 @@
 """Exchanges datagrams with other hosts about whether they reach the store."""
 
+import random
 from collections.abc import Callable
 from datetime import timedelta
 
 import curio
 from attrs import define, field, frozen
-from sequoia_policy.choices import rank_names
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ServiceError
 from sequoia_policy.liveness import Heartbeat
@@ -17,7 +17,6 @@
 from sequoia_rollouts.heartbeats import HeartbeatService
 
 QUERY_INTERVAL = timedelta(milliseconds=400)
-PEERS_PER_DOMAIN = 3
 MAX_DATAGRAM_BYTES = 1400
 
 log = Log('peers')
@@ -47,7 +46,7 @@
 
 @define(eq=False)
 class PeerMonitor:
-    """Queries a few hosts of each failure domain and responds to theirs.
+    """Queries a coordinator of each failure domain while the store is silent.
 
     Attributes:
         store_age: Returns the time since the store last responded to this host.
@@ -59,6 +58,7 @@
     domain: str
     address: Address
     store_age: Callable[[], timedelta | None]
+    rng: random.Random
     reachability: Reachability = field(init=False)
     sock: curio.io.Socket | None = None
     was_cut_off: bool = False
@@ -108,20 +108,19 @@
                 await self._handle_datagram(datagram, Address(*source))
 
     def choose_peers(self) -> list[Heartbeat]:
-        """Return the hosts to query: a few of each failure domain."""
-        observed_peers = self.heartbeats.liveness.observed.values()
-        by_domain: dict[str, dict[str, Heartbeat]] = {}
-        for observed in observed_peers:
-            peer = observed.heartbeat
-            if peer.host != self.heartbeats.host and peer.address:
-                by_domain.setdefault(peer.domain, {})[peer.host] = peer
-        chosen: list[Heartbeat] = []
-        for peers in by_domain.values():
-            ranked = rank_names(self.heartbeats.host, list(peers))
-            chosen.extend(peers[name] for name in ranked[:PEERS_PER_DOMAIN])
-        return chosen
+        """Return the hosts to query: a random coordinator of each domain."""
+        by_domain: dict[str, list[Heartbeat]] = {}
+        for lease in self.heartbeats.leases.values():
+            peer = lease.heartbeat
+            if peer.host != self.heartbeats.own.host and peer.address:
+                by_domain.setdefault(peer.domain, []).append(peer)
+        return [self.rng.choice(peers) for peers in by_domain.values()]
 
     async def _query_peers(self) -> None:
+        self.reachability.feed_interval = self.heartbeats.find_feed_interval()
+        if not self.reachability.needs_peers(self.store_age()):
+            self.reachability.record_query((), self.clock.elapsed())
+            return
         peers = self.choose_peers()
         domains = {peer.domain for peer in peers}
         self.reachability.record_query(domains, self.clock.elapsed())
@@ -140,7 +139,9 @@
 
     async def _send(self, address: Address, *, is_question: bool) -> None:
         assert self.sock
-        state = PeerState(self.heartbeats.host, self.domain, self.store_age())
+        state = PeerState(
+            self.heartbeats.own.host, self.domain, self.store_age()
+        )
         datagram = encode(PeerMessage(state, is_question))
         try:
             await self.sock.sendto(datagram, (address.host, address.port))
--- a/packages/rollouts/sequoia_rollouts/settings.py
+++ b/packages/rollouts/sequoia_rollouts/settings.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from attrs import frozen
+from sequoia_policy.rates import StoreRates
 from sequoia_wire.messages import Address
 
 
@@ -20,6 +21,8 @@
         stop_limit: Maximum time from a stop signal to the end of the process.
         order_lease: Minimum time between orders of two hosts; zero where
             engines refuse the orders of an earlier holder.
+        capacity: Processor cores of the host.
+        rates: Call rates of the store, shared by all hosts.
     """
 
     name: str
@@ -30,3 +33,5 @@
     stop_limit: timedelta
     order_lease: timedelta
     metrics: Address | None = None
+    capacity: float = 1
+    rates: StoreRates = StoreRates()
--- a/packages/rollouts/sequoia_rollouts/shutdowns.py
+++ b/packages/rollouts/sequoia_rollouts/shutdowns.py
@@ -9,6 +9,7 @@
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.servers import HttpServer
 
+from sequoia_rollouts.lease_keepers import LeaseKeeper
 from sequoia_rollouts.ownership import OwnershipTable
 from sequoia_rollouts.submissions import SubmissionHandler
 from sequoia_rollouts.weights import WeightManagers
@@ -34,6 +35,7 @@
     ownership: OwnershipTable
     weights: WeightManagers
     front: HttpServer
+    lease_keeper: LeaseKeeper
 
     async def run(self, stop_limit: timedelta) -> None:
         """Wait until all work is finished or handed over, or until a time limit.
@@ -41,13 +43,13 @@
         Args:
             stop_limit: Time after which the process is killed.
         """
-        HOST_DRAINS.write(host=self.ownership.heartbeats.host)
+        HOST_DRAINS.write(host=self.ownership.heartbeats.own.host)
         limit = stop_limit - STOP_MARGIN
         async with curio.ignore_after(limit.total_seconds()):
             async with curio.TaskGroup() as group:
                 await group.spawn(self._hand_over)
                 await group.spawn(self._end_calls)
-        HOST_STOPPED.write(host=self.ownership.heartbeats.host)
+        HOST_STOPPED.write(host=self.ownership.heartbeats.own.host)
 
     async def _hand_over(self) -> None:
         """Finish items in flight, then release the rest to other hosts."""
@@ -63,6 +65,8 @@
         ):
             await runner.saver.save()
             await self._release(submission_id)
+        with suppress(ServiceError):
+            await self.lease_keeper.release()
 
     async def _release(self, submission_id: str) -> None:
         try:
--- a/packages/rollouts/sequoia_rollouts/status.py
+++ b/packages/rollouts/sequoia_rollouts/status.py
@@ -81,7 +81,7 @@
             'targets', self.host.directory.target_follower.age()
         )
         self.metrics.set_age('ownership', self.host.ownership.follower.age())
-        self.metrics.set_age('lease', self.host.heartbeats.lease_age())
+        self.metrics.set_age('lease', self.host.heartbeats.own.age())
         self.metrics.owned.set(len(self.host.submission_handler.runners))
         await exchange.respond(OK, self.metrics.render())
 
--- a/packages/rollouts/sequoia_rollouts/submissions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions.py
@@ -243,6 +243,7 @@
         self, submission: Submission
     ) -> OwnedSubmission | None:
         """Store a new submission; return None if it was already stored."""
+        await self.ownership.heartbeats.refresh()
         specification = write_specification(submission)
         ownership = Ownership(
             self.ownership.choose_owner(submission.model or submission.path),
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -18,7 +18,6 @@
     read_all,
 )
 from sequoia_rollouts.tables import (
-    heartbeat_key,
     progress_range,
     results_range,
     specification_range,
@@ -38,9 +37,10 @@
 
 @define
 class Sweeper:
-    """Removes expired submissions, and heartbeats of hosts long dead.
+    """Removes expired submissions.
 
-    Each is removed by one host: the first in the rendezvous order of its name.
+    Each is removed by one coordinator: the first in the rendezvous order of its
+    id. Other hosts only drop their copy of its ownership.
     """
 
     store: Store
@@ -54,14 +54,14 @@
             await self.sweep()
 
     async def sweep(self) -> None:
-        """Remove expired submissions and heartbeats."""
+        """Remove expired submissions."""
         for owned in tuple(self.ownership.submissions.values()):
-            if self._is_expired(owned) and self._is_first(owned.id):
+            if not self._is_expired(owned):
+                continue
+            if self._is_first(owned.id):
                 await self._try_remove(owned)
-        heartbeats = self.ownership.heartbeats
-        for host in heartbeats.liveness.list_expired(self.clock.elapsed()):
-            if self._is_first(host):
-                await self._remove_heartbeat(host)
+            elif not self.ownership.heartbeats.is_coordinator:
+                self.ownership.submissions.pop(owned.id, None)
 
     def _is_first(self, key: str) -> bool:
         """Return whether this host ranks first for a key among live hosts."""
@@ -99,12 +99,3 @@
         )
         self.ownership.submissions.pop(owned.id, None)
         SUBMISSION_REMOVED.write(submission=owned.id, rows=len(writes))
-
-    async def _remove_heartbeat(self, host: str) -> None:
-        write = RowWrite(heartbeat_key(host), None)
-        try:
-            await self.store.commit(Transaction((write,)))
-        except ServiceError as failure:
-            NOT_REMOVED.write(key=host, detail=failure.detail)
-        else:
-            self.ownership.heartbeats.liveness.forget(host)
--- a/packages/rollouts/sequoia_rollouts/tables.py
+++ b/packages/rollouts/sequoia_rollouts/tables.py
@@ -13,7 +13,8 @@
 SPECIFICATIONS = 'specifications'
 RESULTS = 'results'
 PROGRESS = 'progress'
-HOSTS = 'hosts'
+COORDINATORS = 'coordinators'  # one partition: a read shows one moment
+HOSTS = 'hosts'  # a partition per failure domain
 PARTITIONS = tuple(f's{number:02d}' for number in range(16))
 MAX_ROW_BYTES = 45000  # raw bytes; longer content is split over rows
 SUBMISSION_PREFIX = 'submission/'
@@ -44,9 +45,14 @@
     return RowKey(OWNERSHIP, find_partition(name), f'{DUTY_PREFIX}{name}')
 
 
-def heartbeat_key(host: str) -> RowKey:
-    """Return the key of a host's heartbeat."""
-    return RowKey(HOSTS, '', host)
+def lease_key(name: str) -> RowKey:
+    """Return the key of a coordinator lease."""
+    return RowKey(COORDINATORS, '', name)
+
+
+def member_key(domain: str, host: str) -> RowKey:
+    """Return the key of a host's announcement."""
+    return RowKey(HOSTS, domain, host)
 
 
 def read_ownership(body: bytes) -> Ownership:
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -121,9 +121,8 @@
         """Return whether no other host can be sending orders."""
         if self.ownership.duties.get(self.duty) != owned:
             return False
-        if not self.ownership.heartbeats.holds_lease():
-            return False
-        if self.ownership.heartbeats.own_heartbeat.draining:
+        heartbeats = self.ownership.heartbeats
+        if not heartbeats.holds_lease() or heartbeats.is_draining:
             return False
         return self.clock.elapsed() >= self.earliest_order_at
 
@@ -161,7 +160,7 @@
         DUTY_TAKEN.write(duty=self.duty, before=owned and owned.owner)
 
     def _is_this_host(self, owner: str) -> bool:
-        host = self.ownership.heartbeats.host
+        host = self.ownership.heartbeats.own.host
         return owner.rpartition('/')[0] == host
 
     async def _write(self, version: int, owner: str) -> bool:
@@ -232,7 +231,7 @@
         owned: OwnedDuty,
     ) -> None:
         permit = OrderPermit(
-            self.ownership.heartbeats.host,
+            self.ownership.heartbeats.own.host,
             owned.version,
             self._allows_mixed_versions(),
             lambda: self.may_order(owned),
