Bound peers that send without end, and serve what arrives during a drain

Cause: the timeouts of a response applied to each read, so a peer that sent a byte now and then was never given up, and interim responses or a body could go on without end. A server that drains closed its listener with requests in the accept queue, and cut kept connections on which a request had begun to arrive.

Change: the head of a response, and a request's head, must arrive as a whole within the timeout; interim responses and bodies are bounded; a request body must make progress. A drain serves the connections that are already queued and requests that have begun to arrive, and says connection: close with each answer.

--- a/packages/wire/sequoia_wire/clients.py
+++ b/packages/wire/sequoia_wire/clients.py
@@ -1,7 +1,6 @@
 """HTTP client that tracks whether a request may have reached its target."""
 
 import re
-import time
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -14,6 +13,7 @@
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.verdicts import Verdict
 
+from sequoia_wire.clocks import monotonic_time
 from sequoia_wire.messages import (
     Address,
     Header,
@@ -29,6 +29,8 @@
 EXPIRY_MARGIN = timedelta(milliseconds=500)
 IDLE_CONNECTIONS_PER_ADDRESS = 32
 MIN_TIME_LIMIT = timedelta(milliseconds=1)
+MAX_INTERIM_RESPONSES = 8  # before the final response
+MAX_BODY_BYTES = 16 * 1024 * 1024  # of a response that is read as a whole
 
 
 @frozen
@@ -37,8 +39,8 @@
 
     Attributes:
         connect: Time to establish a connection.
-        progress: Time to send the request, and to wait for each further read
-            of the response.
+        progress: Time to send the request, to receive the whole head of the
+            response, and to wait for each read of its body.
     """
 
     connect: timedelta = timedelta(seconds=1)
@@ -48,11 +50,6 @@
 DEFAULT_TIMEOUTS = Timeouts()
 
 
-def monotonic_time() -> timedelta:
-    """Return the time of a monotonic clock."""
-    return timedelta(seconds=time.monotonic())
-
-
 @define
 class ClientConnection:
     """A connection to one address; serves one call at a time.
@@ -185,11 +182,19 @@
         """Return the remainder of the body.
 
         Raises:
-            ServiceError: If the response is incomplete or stalls.
+            ServiceError: If the response is incomplete, stalls or is larger
+                than the client accepts.
         """
         chunks: list[bytes] = []
+        size = 0
         chunk = await self.read_chunk()
         while chunk:
+            size += len(chunk)
+            if size > self.client.max_body_bytes:
+                raise ServiceError(
+                    Code.WRONG_ANSWER,
+                    f'response body exceeds {self.client.max_body_bytes} bytes',
+                )
             chunks.append(chunk)
             chunk = await self.read_chunk()
         return b''.join(chunks)
@@ -223,9 +228,8 @@
             raise ServiceError(Code.TARGET_BROKE, str(error)) from error
 
     async def _read_head(self) -> ResponseHead:
-        event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._next_event()
+        async with limit_call_time(self, self.timeouts.progress):
+            event = await self._read_final_head()
         if not isinstance(event, h11.Response):
             raise ServiceError(Code.TARGET_BROKE, 'no response head')
         head = ResponseHead(event.status_code, tuple(event.headers))
@@ -233,6 +237,14 @@
         self.connection.expires_at = parse_expiry(head)
         return head
 
+    async def _read_final_head(self) -> h11.Event:
+        """Return the first event that is no interim response."""
+        for _ in range(MAX_INTERIM_RESPONSES):
+            event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise ServiceError(Code.TARGET_BROKE, 'too many interim responses')
+
     async def _next_event(self) -> h11.Event:
         assert self.connection
         return await self.connection.next_event(self.timeouts.progress)
@@ -244,12 +256,14 @@
 
     Attributes:
         idle_limit: Maximum number of idle connections per address.
+        max_body_bytes: Maximum size of a response that is read as a whole.
     """
 
     idle: dict[Address, list[ClientConnection]] = field(
         factory=lambda: defaultdict(list),
     )
     idle_limit: int = IDLE_CONNECTIONS_PER_ADDRESS
+    max_body_bytes: int = MAX_BODY_BYTES
 
     def call(self, address: Address, timeouts: Timeouts) -> Call:
         """Return a call to ``address``; use it with ``async with``."""
@@ -264,12 +278,15 @@
     ) -> Response:
         """Send a request and return the complete response.
 
+        The head and the body must each arrive within ``timeouts.progress``.
+
         Raises:
             ServiceError: If the call fails.
         """
         async with self.call(address, timeouts) as call:
             response_head = await call.send(head, body)
-            return Response(response_head, await call.read_body())
+            async with limit_call_time(call, timeouts.progress):
+                return Response(response_head, await call.read_body())
 
     async def connect(
         self,
--- a/packages/wire/sequoia_wire/clocks.py
+++ b/packages/wire/sequoia_wire/clocks.py
@@ -6,6 +6,11 @@
 from attrs import frozen
 
 
+def monotonic_time() -> timedelta:
+    """Return the time of a monotonic clock."""
+    return timedelta(seconds=time.monotonic())
+
+
 @frozen
 class SystemClock:
     """The clocks of the operating system."""
--- a/packages/wire/sequoia_wire/exchanges.py
+++ b/packages/wire/sequoia_wire/exchanges.py
@@ -1,5 +1,6 @@
 """Server side of an HTTP request and its response."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -9,9 +10,11 @@
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.verdicts import Verdict
 
+from sequoia_wire.clocks import monotonic_time
 from sequoia_wire.messages import Header, RequestHead, encode_headers
 
 READ_SIZE = 65536  # bytes
+MIN_BODY_RATE = 1000  # bytes per second, from the first read of a body
 VERDICT_HEADER = 'sequoia-verdict'
 CODE_HEADER = 'sequoia-code'
 
@@ -24,7 +27,9 @@
         header_bytes: Maximum size of a request head.
         body_bytes: Maximum size of a request body.
         connections: Maximum number of open connections.
-        progress: Timeout of each read of a request and each write of a response.
+        progress: Time to receive a whole request head, and timeout of each
+            read of a request body and each write of a response. A body that
+            takes longer must arrive at ``MIN_BODY_RATE``.
         idle: Maximum time a connection waits for its next request.
     """
 
@@ -35,6 +40,11 @@
     idle: timedelta = timedelta(seconds=60)
 
 
+def is_never_stopping() -> bool:
+    """Return False."""
+    return False
+
+
 @define
 class Exchange:
     """One request and its response on a server connection.
@@ -42,6 +52,8 @@
     Attributes:
         started: Whether sending the response has begun.
         closing: Whether the connection closes after this response.
+        is_stopping: Returns whether the server closes all connections after
+            their next response.
     """
 
     sock: curio.io.Socket
@@ -50,6 +62,31 @@
     head: RequestHead = RequestHead('GET', '/')
     started: bool = False
     closing: bool = False
+    is_stopping: Callable[[], bool] = is_never_stopping
+
+    async def read_request(self) -> h11.Event:
+        """Return the first event of the next request.
+
+        Raises:
+            ServiceError: With code STALLED if no request begins in time, or if
+                its head is not received in time; with another code if the peer
+                violates the protocol.
+        """
+        if not self.has_unread_bytes():
+            await self._wait_for_bytes()
+        try:
+            async with curio.timeout_after(
+                self.limits.progress.total_seconds()
+            ):
+                return await self.next_event(self.limits.progress)
+        except curio.TaskTimeout as error:
+            raise ServiceError(
+                Code.STALLED, 'the head was not received in time'
+            ) from error
+
+    def has_unread_bytes(self) -> bool:
+        """Return whether part of the next request was received already."""
+        return bool(self.state.trailing_data[0])
 
     async def read_body(self) -> bytes:
         """Return the request body.
@@ -60,7 +97,8 @@
         self._check_length()
         chunks: list[bytes] = []
         size = 0
-        event = await self.next_event(self.limits.progress)
+        started_at = monotonic_time()
+        event = await self._read_body_event(started_at, size)
         while isinstance(event, h11.Data):
             size += len(event.data)
             if size > self.limits.body_bytes:
@@ -69,7 +107,7 @@
                     f'received {size} bytes of the request body',
                 )
             chunks.append(bytes(event.data))
-            event = await self.next_event(self.limits.progress)
+            event = await self._read_body_event(started_at, size)
         if not isinstance(event, h11.EndOfMessage):
             raise ServiceError(Code.BAD_REQUEST, 'incomplete request body')
         return b''.join(chunks)
@@ -129,6 +167,31 @@
         if self.state.their_state is not h11.DONE:
             self.closing = True
 
+    async def _wait_for_bytes(self) -> None:
+        """Wait until a request begins, or until the connection ends."""
+        try:
+            async with curio.timeout_after(self.limits.idle.total_seconds()):
+                received = await self.sock.recv(READ_SIZE)
+        except curio.TaskTimeout as error:
+            raise ServiceError(
+                Code.STALLED, 'the peer sent no request in time'
+            ) from error
+        self.state.receive_data(received)
+
+    async def _read_body_event(
+        self, started_at: timedelta, size: int
+    ) -> h11.Event:
+        """Return the next event of the request body.
+
+        Args:
+            started_at: When the first read of the body started.
+            size: Number of bytes received so far.
+        """
+        limit = self.limits.progress + timedelta(seconds=size / MIN_BODY_RATE)
+        remaining = started_at + limit - monotonic_time()
+        timeout = min(self.limits.progress, max(timedelta(), remaining))
+        return await self.next_event(timeout)
+
     def _check_length(self) -> None:
         declared = self.head.header('content-length')
         if declared and int(declared) > self.limits.body_bytes:
@@ -142,7 +205,8 @@
         status: int,
         headers: tuple[Header, ...],
     ) -> h11.Response:
-        closing = ((b'connection', b'close'),) if self.closing else ()
+        stops = self.closing or self.is_stopping()
+        closing = ((b'connection', b'close'),) if stops else ()
         return h11.Response(status_code=status, headers=[*headers, *closing])
 
     async def _send(self, *events: h11.Event) -> None:
--- a/packages/wire/sequoia_wire/servers.py
+++ b/packages/wire/sequoia_wire/servers.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from sequoia_policy.errors import Code, ServiceError
 
+from sequoia_wire.clocks import monotonic_time
 from sequoia_wire.exchanges import Exchange, ServerLimits, encode_error
 from sequoia_wire.logs import Log
 from sequoia_wire.messages import Address, RequestHead
@@ -15,6 +16,8 @@
 
 BACKLOG = 512  # connections
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=20)
+# During a drain, time from the acceptance of a connection to its first request.
+FIRST_REQUEST_GRACE = timedelta(milliseconds=250)
 
 log = Log('http')
 
@@ -68,14 +71,18 @@
         self.accepting = await curio.current_task()
         while not self.draining:
             sock, _peer = await self.listener.accept()
-            disable_nagle(sock)
-            connection = ServerConnection(self, sock)
-            self.connections.add(connection)
-            await curio.spawn(connection.run, daemon=True)
+            await self._serve(sock)
+
+    def is_stopping(self) -> bool:
+        """Return whether each connection closes after its next response."""
+        return self.draining or self.closing
 
     async def drain(self) -> None:
         """Stop accepting, close idle connections and wait for busy ones.
 
+        Connections that the system has already accepted for this server are
+        served, and so are requests of which any byte has arrived.
+
         The accepting task is cancelled before its socket is closed: the event
         loop fails if the file descriptor of a closed socket is reused while a
         task still waits on it.
@@ -84,21 +91,50 @@
         if self.accepting:
             await self.accepting.cancel()
         if self.listener:
+            await self._accept_queued(self.listener)
             await self.listener.close()
         while self.connections:
             for connection in tuple(self.connections):
                 await connection.close_if_idle()
             await curio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
 
+    async def _accept_queued(self, listener: curio.io.Socket) -> None:
+        """Serve the connections that wait to be accepted."""
+        while True:
+            try:
+                raw_sock, _peer = listener._socket.accept()  # noqa: SLF001
+            except OSError:
+                return
+            await self._serve(curio.io.Socket(raw_sock))
+
+    async def _serve(self, sock: curio.io.Socket) -> None:
+        try:
+            disable_nagle(sock)
+        except OSError:
+            await sock.close()  # the peer has reset the connection
+            return
+        connection = ServerConnection(self, sock)
+        self.connections.add(connection)
+        await curio.spawn(connection.run, daemon=True)
+
 
 @define(eq=False)
 class ServerConnection:
-    """One accepted connection."""
+    """One accepted connection.
+
+    Attributes:
+        busy: Whether a request is being served.
+        requests: Number of requests whose head was read.
+        exchange: The current or next request and its response.
+    """
 
     server: HttpServer
     sock: curio.io.Socket
     busy: bool = False
     task: curio.Task | None = None
+    accepted_at: timedelta = field(factory=monotonic_time)
+    requests: int = 0
+    exchange: Exchange | None = None
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -112,10 +148,29 @@
             await self.sock.close()
 
     async def close_if_idle(self) -> None:
-        """Cancel the connection if it is waiting for a request."""
-        if self.task and not self.busy:
+        """Cancel the connection if it is waiting for a request.
+
+        A connection without any request yet is idle only after a grace period:
+        its first request may be on its way.
+        """
+        if self.task is None or self.busy or self._has_unread_bytes():
+            return
+        age = monotonic_time() - self.accepted_at
+        if self.requests or age > FIRST_REQUEST_GRACE:
             await self.task.cancel(blocking=False)
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether part of a request has arrived."""
+        if self.exchange and self.exchange.has_unread_bytes():
+            return True
+        try:
+            received = self.sock._socket.recv(  # noqa: SLF001
+                1, curio.socket.MSG_PEEK
+            )
+        except OSError:
+            return False
+        return bool(received)
+
     async def _serve_all(self) -> None:
         state = h11.Connection(
             our_role=h11.SERVER,
@@ -123,8 +178,13 @@
         )
         keep_alive = True
         while keep_alive:
-            exchange = Exchange(self.sock, state, self.server.limits)
-            exchange.closing = self.server.draining or self.server.closing
+            exchange = Exchange(
+                self.sock,
+                state,
+                self.server.limits,
+                is_stopping=self.server.is_stopping,
+            )
+            self.exchange = exchange
             keep_alive = await self._serve_one(exchange)
 
     async def _serve_one(self, exchange: Exchange) -> bool:
@@ -147,15 +207,15 @@
 
     async def _read_head(self, exchange: Exchange) -> bool:
         try:
-            event = await exchange.next_event(self.server.limits.idle)
+            event = await exchange.read_request()
         except ServiceError as failure:
-            started = bool(exchange.state.trailing_data[0])
-            if failure.code is Code.STALLED and not started:
+            if failure.code is Code.STALLED and not exchange.has_unread_bytes():
                 return False
             raise
         if not isinstance(event, h11.Request):
             return False
         self.busy = True
+        self.requests += 1
         exchange.head = RequestHead(
             event.method.decode(),
             event.target.decode('latin-1'),
