Count only events as progress, and check the id of a refusal first

Cause: the timeout between events applied to each read, so an engine that sent bytes now and then without completing an event kept its run for ever. A late copy of a refusal on a reused connection was taken for a refusal of the next request, which may have run. An event without end was buffered and searched again from its start with each read.

Change: the time for the next event counts from the last complete one, for items and live streams; the start of a run is limited as a whole. The request id of a response is compared before its refusal is believed. Events are limited to 1 MiB and searched once.

--- a/packages/rollouts/sequoia_rollouts/events.py
+++ b/packages/rollouts/sequoia_rollouts/events.py
@@ -5,6 +5,8 @@
 from attrs import define, field, frozen
 
 END_OF_EVENT = re.compile(rb'\r?\n\r?\n')
+MAX_END_BYTES = 4  # of END_OF_EVENT
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 @frozen
@@ -40,15 +42,19 @@
         """Return the events that ``received`` completes.
 
         Raises:
-            ValueError: If an event cannot be parsed.
+            ValueError: If an event cannot be parsed or is larger than
+                ``MAX_EVENT_BYTES``.
         """
+        searched = max(0, len(self.pending) - MAX_END_BYTES + 1)
         self.pending += received
         complete = []
         start = 0
-        for end in END_OF_EVENT.finditer(self.pending):
+        for end in END_OF_EVENT.finditer(self.pending, searched):
             complete.append(self.pending[start : end.end()])
             start = end.end()
         self.pending = self.pending[start:]
+        if len(self.pending) > MAX_EVENT_BYTES:
+            raise ValueError(f'event is larger than {MAX_EVENT_BYTES} bytes')
         return [self._read(raw) for raw in complete if raw.strip()]
 
     @property
--- a/packages/rollouts/sequoia_rollouts/generations.py
+++ b/packages/rollouts/sequoia_rollouts/generations.py
@@ -10,15 +10,20 @@
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.submissions import Item, Submission
 from sequoia_policy.verdicts import Verdict
-from sequoia_wire.clients import Call, Timeouts
+from sequoia_wire.clients import Call, Timeouts, limit_call_time
 from sequoia_wire.messages import RequestHead, ResponseHead, encode_headers
 
 from sequoia_rollouts.dialects import CallLabels
 from sequoia_rollouts.events import EventReader, StreamEvent
-from sequoia_rollouts.paces import PaceMeter, find_gap_timeout
+from sequoia_rollouts.paces import (
+    PaceMeter,
+    StreamProgress,
+    find_gap_timeout,
+)
 from sequoia_rollouts.senders import CONNECT_TIMEOUT, OutgoingRequest, Sender
 
 FIRST_EVENT_TIMEOUT = timedelta(seconds=3)
+START_TIMEOUT = FIRST_EVENT_TIMEOUT * 2  # for a response that is no stream
 STATUS_OK = 200
 STATUS_ITEM_FAILED = 500
 STATUS_ITEM_IMPOSSIBLE = 422
@@ -141,17 +146,10 @@
         call = self.sender.open(target)
         call.timeouts = Timeouts(CONNECT_TIMEOUT, FIRST_EVENT_TIMEOUT)
         async with call:
-            await self._start(call, generation, target)
-            self._set_gap_timeout(call, target)
+            async with limit_call_time(call, START_TIMEOUT):
+                await self._start(call, generation, target)
             await self._read_stream(call, generation, target)
 
-    def _set_gap_timeout(self, call: Call, target: RegisteredTarget) -> None:
-        """Set the timeout between events from the pace of the engine."""
-        call.timeouts = Timeouts(
-            CONNECT_TIMEOUT,
-            find_gap_timeout(target, self.clock.elapsed()),
-        )
-
     async def _start(
         self,
         call: Call,
@@ -204,20 +202,30 @@
     ) -> None:
         reader = EventReader(self.sender.dialect.version_field)
         meter = PaceMeter(target, self.clock.elapsed())
-        chunk = await call.read_chunk()
+        progress = StreamProgress(self.clock.elapsed())
+        chunk = await self._read_chunk(call, target, progress)
         while chunk:
             before = len(generation.events)
             self._apply_chunk(reader, chunk, generation, target)
             received = len(generation.events) - before
+            progress.record(received, self.clock.elapsed())
             if meter.count(received, self.clock.elapsed()):
-                self._set_gap_timeout(call, target)
                 if self.has_faster_engine(target):
                     raise RunEndedError(RunEnd.MOVED)
-            chunk = await call.read_chunk()
+            chunk = await self._read_chunk(call, target, progress)
         if not reader.at_event_boundary or not generation.events:
             raise ServiceError(Code.TARGET_BROKE, 'event stream is incomplete')
         generation.done = True
 
+    async def _read_chunk(
+        self, call: Call, target: RegisteredTarget, progress: StreamProgress
+    ) -> bytes:
+        """Return the next chunk unless the next event is overdue."""
+        now = self.clock.elapsed()
+        timeout = progress.remaining(find_gap_timeout(target, now), now)
+        call.timeouts = Timeouts(CONNECT_TIMEOUT, timeout)
+        return await call.read_chunk()
+
     def _apply_chunk(
         self,
         reader: EventReader,
--- a/packages/rollouts/sequoia_rollouts/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live_streams.py
@@ -21,7 +21,11 @@
 from sequoia_rollouts.live_attempts import LiveAttempts
 from sequoia_rollouts.live_retries import LiveRetries
 from sequoia_rollouts.live_targets import LiveTargets
-from sequoia_rollouts.paces import PaceMeter, find_gap_timeout
+from sequoia_rollouts.paces import (
+    PaceMeter,
+    StreamProgress,
+    find_gap_timeout,
+)
 from sequoia_rollouts.senders import (
     CONNECT_TIMEOUT,
     Sender,
@@ -137,6 +141,7 @@
             head,
             EventReader(self.sender.dialect.version_field),
             PaceMeter(target, self.clock.elapsed()),
+            StreamProgress(self.clock.elapsed()),
             self.sender.dialect.read_labels(head).version,
         )
         await self._relay_events(stream, segment)
@@ -186,8 +191,11 @@
             )
         chunk = await segment.call.read_chunk()
         while chunk:
+            before = stream.events
             for event in read_events(segment.reader, chunk):
                 await self._relay_event(stream, segment, event)
+            received = stream.events - before
+            segment.progress.record(received, self.clock.elapsed())
             segment.call.timeouts = Timeouts(
                 CONNECT_TIMEOUT,
                 self._find_gap_timeout(stream, segment),
@@ -204,16 +212,15 @@
         stream: LiveStream,
         segment: StreamSegment,
     ) -> timedelta:
-        """Return the timeout for the next event.
+        """Return the time left for the next event.
 
         A stream that cannot resume at another engine has no timeout between
         events; only its deadline ends it.
         """
         now = self.clock.elapsed()
         if stream.attempts.has_attempts_left:
-            return min(
-                MAX_EVENT_GAP, find_gap_timeout(segment.meter.target, now)
-            )
+            gap = find_gap_timeout(segment.meter.target, now)
+            return segment.progress.remaining(min(MAX_EVENT_GAP, gap), now)
         return stream.attempts.deadline - now
 
     async def _relay_event(
--- a/packages/rollouts/sequoia_rollouts/paces.py
+++ b/packages/rollouts/sequoia_rollouts/paces.py
@@ -9,6 +9,7 @@
 DEFAULT_GAP_TIMEOUT = timedelta(milliseconds=2400)  # if no pace is known
 MIN_GAP_TIMEOUT = timedelta(milliseconds=1200)
 GAP_TIMEOUT_FACTOR = 10  # times the smoothed time between events
+MIN_READ_TIMEOUT = timedelta(milliseconds=1)
 
 
 @define
@@ -36,6 +37,31 @@
         return True
 
 
+@define
+class StreamProgress:
+    """When the last complete event of a stream arrived.
+
+    Bytes that complete no event are no progress: an engine in trouble may send
+    some now and then.
+    """
+
+    progress_at: timedelta
+
+    def record(self, events: int, now: timedelta) -> None:
+        """Record the number of events that have just arrived."""
+        if events:
+            self.progress_at = now
+
+    def remaining(self, gap: timedelta, now: timedelta) -> timedelta:
+        """Return the time left for the next event.
+
+        Args:
+            gap: Maximum time between two events.
+            now: Current time.
+        """
+        return max(MIN_READ_TIMEOUT, self.progress_at + gap - now)
+
+
 def find_gap_timeout(target: RegisteredTarget, now: timedelta) -> timedelta:
     """Return the timeout between two events of an engine."""
     pace = target.known_seconds(now)
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -118,6 +118,8 @@
         )
         response = await call.send(head, outgoing.body)
         received = self.dialect.read_labels(response)
+        if received.request_id and received.request_id != outgoing.id:
+            raise ServiceError(Code.WRONG_ANSWER, 'response to another request')
         if received.not_run:
             await call.read_body()  # keeps the connection reusable
             raise ServiceError(
@@ -127,8 +129,6 @@
                 f'{labels.target} responded with status {response.status}',
                 verdict=Verdict.NOT_RUN,
             )
-        if received.request_id and received.request_id != outgoing.id:
-            raise ServiceError(Code.WRONG_ANSWER, 'response to another request')
         return response
 
     async def _fetch(
--- a/packages/rollouts/sequoia_rollouts/streams.py
+++ b/packages/rollouts/sequoia_rollouts/streams.py
@@ -10,7 +10,7 @@
 
 from sequoia_rollouts.events import EventReader, StreamEvent
 from sequoia_rollouts.live_attempts import LiveAttempts
-from sequoia_rollouts.paces import PaceMeter
+from sequoia_rollouts.paces import PaceMeter, StreamProgress
 
 
 @define
@@ -48,6 +48,7 @@
     head: ResponseHead
     reader: EventReader
     meter: PaceMeter
+    progress: StreamProgress
     version: int | None
     last_event_id: str = ''
 
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -32,6 +32,8 @@
         break_after: Events after which the next stream is aborted; 0 for never.
         silent_after: Events after which the next stream sends nothing more and
             stays open; 0 for never.
+        trickle_after: Events after which the next stream sends only parts of
+            comments and stays open; 0 for never.
         fail: Number of requests to run and respond to with status 500.
         refuse: Number of requests to refuse as not run.
         unanswered_orders: Number of orders to execute without a response.
@@ -49,6 +51,7 @@
     version: int = 1
     break_after: int = 0
     silent_after: int = 0
+    trickle_after: int = 0
     fail: int = 0
     refuse: int = 0
     unanswered_orders: int = 0
@@ -157,6 +160,7 @@
         self.priorities.append(exchange.head.header('request-priority'))
         break_after, self.break_after = self.break_after, 0
         silent_after, self.silent_after = self.silent_after, 0
+        trickle_after, self.trickle_after = self.trickle_after, 0
         await exchange.start(
             200,
             (
@@ -172,6 +176,8 @@
                 raise ConnectionAbortedError('the stream is aborted')
             if silent_after and number > silent_after:
                 await self.wait_for_disconnect(exchange)
+            if trickle_after and number > trickle_after:
+                await self.trickle(exchange)
             change = ''
             if version != self.version:
                 version = self.version
@@ -180,6 +186,12 @@
             await exchange.send(event.encode())
         await exchange.finish()
 
+    async def trickle(self, exchange):
+        """Send bytes that belong to no event until the peer disconnects."""
+        while True:
+            await exchange.send(b': wait\n\n')
+            await curio.sleep(0.2)
+
     async def wait_for_disconnect(self, exchange):
         await exchange.sock.recv(1)
         raise ConnectionAbortedError('the host disconnected')
