Sign the datagrams between hosts of the platform path

Cause: anyone on the network could say that a host reaches the store, and so make other hosts report that they are not ready; a recorded response could be sent again. A duration too large to hold ended the receiving loop until its restart, as the codec let the error through.

Responses repeat the random text of a recent query. Other datagrams are dropped, logged and so counted. Tags stand in a module of their own, without Thrift.

--- a/packages/bench/sequoia_bench/gossip.py
+++ b/packages/bench/sequoia_bench/gossip.py
@@ -11,14 +11,9 @@
 
 from attrs import define, field, frozen
 from sequoia_policy.members import Member, MemberTable, OutgoingDigest
-from sequoia_wire.frames import (
-    decode_thrift,
-    derive_key,
-    encode_thrift,
-    open_datagram,
-    seal_datagram,
-)
+from sequoia_wire.frames import decode_thrift, encode_thrift
 from sequoia_wire.peer_types import ttypes
+from sequoia_wire.signatures import derive_key, open_datagram, seal_datagram
 from sequoiashed.gossips import make_member_row
 
 from sequoia_bench.figures import Figure
--- a/packages/entry/sequoiashed/gossips.py
+++ b/packages/entry/sequoiashed/gossips.py
@@ -14,15 +14,11 @@
 from sequoia_policy.pools import PoolSummary
 from sequoia_policy.roles import Role
 from sequoia_policy.targets import Report
-from sequoia_wire.frames import (
-    decode_thrift,
-    encode_thrift,
-    open_datagram,
-    seal_datagram,
-)
+from sequoia_wire.frames import decode_thrift, encode_thrift
 from sequoia_wire.logs import Log
 from sequoia_wire.messages import parse_address
 from sequoia_wire.peer_types import ttypes
+from sequoia_wire.signatures import open_datagram, seal_datagram
 
 from sequoiashed.plans import PlanFollower
 from sequoiashed.states import HostState
--- a/packages/entry/sequoiashed/states.py
+++ b/packages/entry/sequoiashed/states.py
@@ -11,7 +11,7 @@
 from sequoia_policy.reports import ReportQueue
 from sequoia_policy.target_tables import TargetTable
 from sequoia_wire.clients import HttpClient
-from sequoia_wire.frames import derive_key
+from sequoia_wire.signatures import derive_key
 from sequoia_wire.stores import Store
 
 from sequoiashed.metrics import Metrics
--- a/packages/entry/tests/test_gossips.py
+++ b/packages/entry/tests/test_gossips.py
@@ -7,8 +7,9 @@
 from sequoia_policy.errors import Code
 from sequoia_policy.plan_states import PlanState
 from sequoia_standins.ports import find_free_address
-from sequoia_wire.frames import encode_thrift, seal_datagram
+from sequoia_wire.frames import encode_thrift
 from sequoia_wire.peer_types import ttypes
+from sequoia_wire.signatures import seal_datagram
 from sequoiashed.gossips import Gossiper
 from sequoiashed.plans import PlanFollower
 from sequoiashed.watchers import mark_leaving
--- a/packages/entry/tests/test_peers.py
+++ b/packages/entry/tests/test_peers.py
@@ -17,8 +17,9 @@
 from sequoia_standins.fakes import exchange_bytes
 from sequoia_standins.plain_services import PlainStandin
 from sequoia_standins.ports import find_free_address
-from sequoia_wire.frames import HEADER, TAG_SIZE
+from sequoia_wire.frames import HEADER
 from sequoia_wire.platform_messages import TargetStatus
+from sequoia_wire.signatures import TAG_SIZE
 from sequoiashed.peers import PeerServer
 from sequoiashed.plans import PlanFollower
 
--- a/packages/rollouts/sequoia_rollouts/coordination.py
+++ b/packages/rollouts/sequoia_rollouts/coordination.py
@@ -11,6 +11,7 @@
 from sequoia_rollouts.heartbeats import HeartbeatService
 from sequoia_rollouts.lease_keepers import LeaseKeeper
 from sequoia_rollouts.own_leases import OwnLease
+from sequoia_rollouts.peer_keys import KeyRing
 from sequoia_rollouts.peers import PeerMonitor
 from sequoia_rollouts.settings import HostSettings
 from sequoia_rollouts.stores import Store
@@ -32,6 +33,7 @@
     heartbeats: HeartbeatService = field(init=False)
     lease_keeper: LeaseKeeper = field(init=False)
     census: Census = field(init=False)
+    key_ring: KeyRing = field(init=False)
     peers: PeerMonitor = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -48,6 +50,7 @@
             self.settings.capacity,
         )
         self.census = Census(self.heartbeats, self.store, self.clock, self.rng)
+        self.key_ring = KeyRing(self.heartbeats, self.store, self.clock)
         self.peers = PeerMonitor(
             self.clock,
             self.heartbeats,
@@ -55,18 +58,19 @@
             self.settings.peer,
             self.store_age,
             self.rng,
+            self.key_ring,
         )
 
     @property
     def loops(self) -> tuple[Callable[[], Awaitable[None]], ...]:
         """The loops to run while the host runs."""
-        return (
-            self.heartbeats.run_reader,
-            self.lease_keeper.run,
-            self.census.run,
+        leases = (self.heartbeats.run_reader, self.lease_keeper.run)
+        messages = (
+            self.key_ring.run,
             self.peers.run_sender,
             self.peers.run_receiver,
         )
+        return (*leases, self.census.run, *messages)
 
     def open(self) -> None:
         """Bind the address for other hosts and announce it in heartbeats.
--- a/packages/rollouts/sequoia_rollouts/peers.py
+++ b/packages/rollouts/sequoia_rollouts/peers.py
@@ -1,6 +1,8 @@
 """Exchanges datagrams with other hosts about whether they reach the store."""
 
 import random
+import uuid
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -15,8 +17,10 @@
 from sequoia_wire.messages import Address, parse_address
 
 from sequoia_rollouts.heartbeats import HeartbeatService
+from sequoia_rollouts.peer_keys import KeyRing
 
 QUERY_INTERVAL = timedelta(milliseconds=400)
+VALID_NONCES = 3  # queries whose responses are accepted
 MAX_DATAGRAM_BYTES = 1400
 
 log = Log('peers')
@@ -38,10 +42,13 @@
 
     Attributes:
         is_question: Whether the receiver should respond.
+        nonce: Random text of the query, repeated in its response, so that an
+            old response cannot be sent again.
     """
 
     state: PeerState
     is_question: bool
+    nonce: str = ''
 
 
 @define(eq=False)
@@ -50,6 +57,7 @@
 
     Attributes:
         store_age: Returns the time since the store last responded to this host.
+        nonces: Random texts of recent queries, newest last.
         was_cut_off: Whether the last check found this host cut off.
     """
 
@@ -59,6 +67,8 @@
     address: Address
     store_age: Callable[[], timedelta | None]
     rng: random.Random
+    key_ring: KeyRing
+    nonces: deque[str] = field(factory=lambda: deque(maxlen=VALID_NONCES))
     reachability: Reachability = field(init=False)
     sock: curio.io.Socket | None = None
     was_cut_off: bool = False
@@ -124,28 +134,37 @@
         peers = self.choose_peers()
         domains = {peer.domain for peer in peers}
         self.reachability.record_query(domains, self.clock.elapsed())
+        nonce = uuid.uuid4().hex
+        self.nonces.append(nonce)
         for peer in peers:
-            await self._send(parse_address(peer.address), is_question=True)
+            address = parse_address(peer.address)
+            await self._send(address, nonce, is_question=True)
 
     async def _handle_datagram(self, datagram: bytes, source: Address) -> None:
         try:
-            message = decode(datagram, PeerMessage)
+            message = decode(self.key_ring.open(datagram), PeerMessage)
         except ServiceError as error:
-            DATAGRAM_LEFT_OUT.write(detail=error.detail)
+            DATAGRAM_LEFT_OUT.write(detail=str(error))
             return
-        self.reachability.record_state(message.state, self.clock.elapsed())
         if message.is_question:
-            await self._send(source, is_question=False)
+            await self._send(source, message.nonce, is_question=False)
+        elif message.nonce in self.nonces:
+            self.reachability.record_state(message.state, self.clock.elapsed())
+        else:
+            DATAGRAM_LEFT_OUT.write(detail='response to no recent query')
 
-    async def _send(self, address: Address, *, is_question: bool) -> None:
+    async def _send(
+        self, address: Address, nonce: str, *, is_question: bool
+    ) -> None:
         assert self.sock
         state = PeerState(
             self.heartbeats.own.host, self.domain, self.store_age()
         )
-        datagram = encode(PeerMessage(state, is_question))
+        message = PeerMessage(state, is_question, nonce)
         try:
+            datagram = self.key_ring.seal(encode(message))
             await self.sock.sendto(datagram, (address.host, address.port))
-        except OSError as error:
+        except (OSError, ServiceError) as error:
             DATAGRAM_LEFT_OUT.write(detail=str(error))
 
     def _log_change(self) -> None:
--- a/packages/rollouts/sequoia_rollouts/tables.py
+++ b/packages/rollouts/sequoia_rollouts/tables.py
@@ -14,6 +14,7 @@
 RESULTS = 'results'
 PROGRESS = 'progress'
 COORDINATORS = 'coordinators'  # one partition: a read shows one moment
+KEYS = 'keys'
 HOSTS = 'hosts'  # a partition per failure domain
 PARTITIONS = tuple(f's{number:02d}' for number in range(16))
 MAX_ROW_BYTES = 45000  # raw bytes; longer content is split over rows
@@ -50,6 +51,11 @@
     return RowKey(COORDINATORS, '', name)
 
 
+def peer_keys_key() -> RowKey:
+    """Return the key of the secrets that all hosts share."""
+    return RowKey(KEYS, '', 'peers')
+
+
 def member_key(domain: str, host: str) -> RowKey:
     """Return the key of a host's announcement."""
     return RowKey(HOSTS, domain, host)
--- a/packages/standins/sequoia_standins/relays.py
+++ b/packages/standins/sequoia_standins/relays.py
@@ -12,13 +12,9 @@
 from attrs import define, field, frozen
 from sequoia_wire.codecs import decode
 from sequoia_wire.exchanges import Exchange
-from sequoia_wire.frames import (
-    HEADER,
-    NONCE_SIZE,
-    TAG_SIZE,
-    decode_thrift,
-)
+from sequoia_wire.frames import HEADER, NONCE_SIZE, decode_thrift
 from sequoia_wire.messages import Address
+from sequoia_wire.signatures import TAG_SIZE
 from sequoia_wire.peer_types.ttypes import PeerRequest
 
 OK = 200
--- a/packages/wire/sequoia_wire/codecs.py
+++ b/packages/wire/sequoia_wire/codecs.py
@@ -8,6 +8,13 @@
 from sequoia_policy.errors import Code, ServiceError
 
 Message = TypeVar('Message')
+# A number of seconds may exceed what a duration can hold.
+DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    OverflowError,
+    cattrs.BaseValidationError,
+)
 
 converter = make_converter()
 converter.register_unstructure_hook(timedelta, timedelta.total_seconds)
@@ -31,7 +38,7 @@
     """
     try:
         return converter.loads(encoded, kind)
-    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+    except DECODE_ERRORS as error:
         raise ServiceError(
             Code.BAD_REQUEST,
             f'the JSON is not a valid {kind.__name__}',
--- a/packages/wire/sequoia_wire/frames.py
+++ b/packages/wire/sequoia_wire/frames.py
@@ -1,6 +1,5 @@
 """Authenticated Thrift frames between entry hosts, over TCP and UDP."""
 
-import hashlib
 import hmac
 import struct
 from datetime import timedelta
@@ -13,7 +12,8 @@
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
-TAG_SIZE = 16  # bytes
+from sequoia_wire.signatures import TAG_SIZE, sign
+
 NONCE_SIZE = 16  # bytes
 MAX_FRAME_SIZE = 4194304  # bytes
 HEADER = struct.Struct('>I')
@@ -74,45 +74,6 @@
     return message
 
 
-def sign(key: bytes, context: bytes, payload: bytes) -> bytes:
-    """Return the authentication tag of a payload.
-
-    Args:
-        key: Signing key.
-        context: Bytes that bind the tag to one use of the payload.
-        payload: Bytes to authenticate.
-    """
-    hasher = hashlib.blake2b(key=key, digest_size=TAG_SIZE)
-    hasher.update(context)
-    hasher.update(payload)
-    return hasher.digest()
-
-
-def derive_key(secret: str) -> bytes:
-    """Derive the signing key from a shared secret."""
-    return hashlib.blake2b(secret.encode()).digest()
-
-
-def seal_datagram(key: bytes, payload: bytes) -> bytes:
-    """Return a datagram: the authentication tag, then the payload."""
-    return sign(key, b'datagram', payload) + payload
-
-
-def open_datagram(key: bytes, datagram: bytes) -> bytes:
-    """Verify a datagram and return its payload.
-
-    Raises:
-        ServiceError: With code PEER_UNAUTHENTICATED if the tag is invalid.
-    """
-    tag, payload = datagram[:TAG_SIZE], datagram[TAG_SIZE:]
-    if not hmac.compare_digest(tag, sign(key, b'datagram', payload)):
-        raise ServiceError(
-            Code.PEER_UNAUTHENTICATED,
-            'datagram with an invalid authentication tag',
-        )
-    return payload
-
-
 @define
 class PeerChannel:
     """One end of a connection between entry hosts.
--- a/packages/wire/tests/test_frames.py
+++ b/packages/wire/tests/test_frames.py
@@ -13,11 +13,13 @@
     FROM_SERVER,
     HEADER,
     MAX_FRAME_SIZE,
-    TAG_SIZE,
     PeerChannel,
     decode_thrift,
-    derive_key,
     encode_thrift,
+)
+from sequoia_wire.signatures import (
+    TAG_SIZE,
+    derive_key,
     open_datagram,
     seal_datagram,
 )
