Apply changed settings only when two reads agree, and name what needs a restart

Cause: a settings file that is being written may look valid and end in half a number, which was applied; a change of a setting that cannot change without a restart was said to be applied; a file that cannot be used was logged each 2 s.

Change: the reload stands in a module of its own, needs two equal reads 100 ms apart, applies the store's rates, the capacity and the limits, and logs the names of settings that need a restart. The shared services of runners are built beside their type.

--- a/packages/rollouts/sequoia_rollouts/coordination.py
+++ b/packages/rollouts/sequoia_rollouts/coordination.py
@@ -82,6 +82,12 @@
         own = self.heartbeats.own
         own.heartbeat = evolve(own.heartbeat, address=str(self.peers.address))
 
+    def apply_settings(self, settings: HostSettings) -> None:
+        """Apply changed rates of the store and a changed capacity."""
+        self.settings = settings
+        self.heartbeats.rates = settings.rates
+        self.lease_keeper.capacity = settings.capacity
+
     def start_draining(self) -> None:
         """Let the next heartbeat say that this host is shutting down."""
         own = self.heartbeats.own
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -10,19 +10,17 @@
 from sequoia_policy.clocks import Clock
 from sequoia_wire.clients import HttpClient
 from sequoia_wire.exchanges import Exchange, ServerLimits
-from sequoia_wire.logs import OUTPUT, Log, LogKind
+from sequoia_wire.logs import OUTPUT, Log
 from sequoia_wire.servers import HttpServer
 
 from sequoia_rollouts.dialects import TargetDialect
 from sequoia_rollouts.coordination import Coordination
 from sequoia_rollouts.directories import Directory, DirectoryReader
 from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.item_runs import RunnerDependencies
+from sequoia_rollouts.item_runs import build_dependencies
 from sequoia_rollouts.live import LivePath
 from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
-from sequoia_rollouts.placers import Placer
-from sequoia_rollouts.rewards import RewardCaller
-from sequoia_rollouts.scorers import ScorerQueue
+from sequoia_rollouts.reloads import SettingsReloader
 from sequoia_rollouts.senders import Sender
 from sequoia_rollouts.settings import HostSettings
 from sequoia_rollouts.shutdowns import Shutdown
@@ -34,14 +32,9 @@
 from sequoia_rollouts.weights import WeightManagers
 
 FLUSH_INTERVAL = timedelta(milliseconds=100)
-RELOAD_INTERVAL = timedelta(seconds=2)
 
 log = Log('host')
 HOST_STARTED = log.event('host started', 'host', 'owner')
-SETTINGS_CHANGED = log.event('settings changed', 'host')
-SETTINGS_CANNOT_BE_USED = log.event(
-    'settings cannot be used', 'detail', kind=LogKind.FAILURE
-)
 
 
 @frozen
@@ -73,7 +66,7 @@
     rng: random.Random = field(factory=random.Random)
     draining: bool = False
     stop_requested: curio.UniversalEvent = field(factory=curio.UniversalEvent)
-    reload_requested: curio.UniversalEvent = field(factory=curio.UniversalEvent)
+    reloader: SettingsReloader = field(init=False)
     coordination: Coordination = field(init=False)
     heartbeats: HeartbeatService = field(init=False)
     directory: Directory = field(init=False)
@@ -88,6 +81,9 @@
     def __attrs_post_init__(self) -> None:
         """Create all components."""
         store = self.platform.store
+        self.reloader = SettingsReloader(
+            self.settings, self.platform.read_settings, self._apply_settings
+        )
         self.coordination = Coordination(
             store, self.clock, self.settings, self.rng, self.store_age
         )
@@ -107,21 +103,13 @@
             self.directory.apply_engine_note,
         )
         sender = Sender(self.clock, self.platform.dialect, HttpClient())
-        placer = Placer(self.clock, self.directory, self.ownership.count_owners)
-        rewards = RewardCaller(
+        dependencies = build_dependencies(
             self.clock,
             self.directory,
             sender,
-            ScorerQueue(placer),
+            self.ownership.count_owners,
             self.rng,
         )
-        dependencies = RunnerDependencies(
-            self.clock,
-            self.directory,
-            sender,
-            placer,
-            rewards,
-        )
         self.live = LivePath(
             self.clock,
             self.directory,
@@ -199,7 +187,7 @@
             self.ownership.run_adoption,
             self.weights.run,
             self.sweeper.run,
-            self.run_reloads,
+            self.reloader.run,
             self.run_log_flushes,
         ):
             await group.spawn(supervise, loop)
@@ -215,31 +203,6 @@
             OUTPUT.flush()
             await curio.sleep(FLUSH_INTERVAL.total_seconds())
 
-    async def run_reloads(self) -> None:
-        """Apply changed settings until cancelled.
-
-        The settings are also read at an interval because they may change
-        without a signal.
-        """
-        while True:
-            async with curio.ignore_after(RELOAD_INTERVAL.total_seconds()):
-                await self.reload_requested.wait()
-            self.reload_requested.clear()
-            self.apply_settings()
-
-    def apply_settings(self) -> None:
-        """Apply changed settings; keep the last valid ones on an error."""
-        try:
-            settings = self.platform.read_settings()
-        except ValueError as error:
-            SETTINGS_CANNOT_BE_USED.write(detail=str(error))
-            return
-        if settings == self.settings:
-            return
-        SETTINGS_CHANGED.write(host=settings.name)
-        self.settings = settings
-        self.weights.set_lease(settings.order_lease)
-
     async def shut_down(self) -> None:
         """Finish what is in flight and hand the rest over."""
         self.draining = True
@@ -257,6 +220,12 @@
     async def _apply_ownership(self, owned: OwnedSubmission) -> None:
         await self.submission_handler.apply_ownership_change(owned)
 
+    def _apply_settings(self, settings: HostSettings) -> None:
+        """Apply the settings that need no restart."""
+        self.settings = settings
+        self.weights.set_lease(settings.order_lease)
+        self.coordination.apply_settings(settings)
+
     def _apply_limits(self) -> None:
         """Apply the configured limits for requests of callers."""
         limits = self.directory.configuration.limits
@@ -268,7 +237,7 @@
         )
 
     def _on_reload(self, _signal_number: int, _frame: object) -> None:
-        self.reload_requested.set()
+        self.reloader.requested.set()
 
     def _on_signal(self, _signal_number: int, _frame: object) -> None:
         self.stop_requested.set()
--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -1,5 +1,7 @@
 """Runs an item at an engine and scores the generated text."""
 
+import random
+from collections.abc import Callable
 from datetime import timedelta
 
 import curio
@@ -29,6 +31,7 @@
 from sequoia_rollouts.placers import EngineRequirements, Placer
 from sequoia_rollouts.recorders import Recorder
 from sequoia_rollouts.rewards import RewardCaller, RewardFailedError
+from sequoia_rollouts.scorers import ScorerQueue
 from sequoia_rollouts.senders import Sender
 
 REQUEUE_DELAY = timedelta(milliseconds=20)
@@ -92,6 +95,28 @@
     rewards: RewardCaller
 
 
+def build_dependencies(
+    clock: Clock,
+    directory: Directory,
+    sender: Sender,
+    count_owners: Callable[[], int],
+    rng: random.Random,
+) -> RunnerDependencies:
+    """Create the services that all submission runners share.
+
+    Args:
+        clock: The clock of the host.
+        directory: Configuration and targets.
+        sender: Sends requests to targets.
+        count_owners: Returns the number of hosts that run submissions.
+        rng: Chooses the services of reward calls.
+    """
+    placer = Placer(clock, directory, count_owners)
+    scorers = ScorerQueue(placer)
+    rewards = RewardCaller(clock, directory, sender, scorers, rng)
+    return RunnerDependencies(clock, directory, sender, placer, rewards)
+
+
 @frozen
 class ItemRun:
     """An attempt to generate an item at one engine."""
--- a/packages/rollouts/sequoia_rollouts/settings.py
+++ b/packages/rollouts/sequoia_rollouts/settings.py
@@ -6,6 +6,9 @@
 from sequoia_policy.rates import StoreRates
 from sequoia_wire.messages import Address
 
+# Settings that apply while the host runs; the others need a restart.
+RELOADABLE = frozenset(('capacity', 'order_lease', 'rates', 'stop_limit'))
+
 
 @frozen
 class HostSettings:
