Count silence only up to the last read of the leases

Cause: a host that was cut off renewed its lease before its next read of the others' leases. An adoption that lost its race was also logged as one that took effect.

Change: silence counts up to one read interval after the last read. Adoptions are logged only if the write took effect.

--- a/packages/policy/sequoia_policy/liveness.py
+++ b/packages/policy/sequoia_policy/liveness.py
@@ -111,9 +111,9 @@
 class LivenessTable:
     """Newest heartbeats of all lease holders, as read by one host.
 
-    Silence counts only while this host can read the leases. After a gap in
-    reads the timeout restarts for all hosts that were alive before the gap. A
-    process without a lease counts as dead only after the same timeout: it may
+    Silence counts only while this host can read the leases: up to one read
+    interval after its last read. After a gap in reads the timeout restarts for
+    all hosts that were alive before the gap. A process without a lease counts as dead only after the same timeout: it may
     have started after the last read.
 
     Attributes:
@@ -186,13 +186,22 @@
     def _is_silent(
         self, observation: ObservedHeartbeat, now: timedelta
     ) -> bool:
-        return now - observation.observed_at > self.timing.dead_after
+        return (
+            self._end_of_silence(now) - observation.observed_at
+            > self.timing.dead_after
+        )
 
     def _is_missing(self, owner: str, now: timedelta) -> bool:
         if self.last_read is None:
             return False
         since = self.missing_since.setdefault(owner, now)
-        return now - since > self.timing.dead_after
+        return self._end_of_silence(now) - since > self.timing.dead_after
+
+    def _end_of_silence(self, now: timedelta) -> timedelta:
+        """Return the time up to which silence counts."""
+        if self.last_read is None:
+            return now
+        return min(now, self.last_read + self.timing.read_interval)
 
     def _restart_timeouts(self, last_read: timedelta, now: timedelta) -> None:
         """Restart the timeouts of hosts that were alive at the last read."""
--- a/packages/policy/tests/test_liveness.py
+++ b/packages/policy/tests/test_liveness.py
@@ -77,6 +77,17 @@
     assert not table.is_dead('h1/b1', later)
 
 
+def test_silence_since_the_last_read_does_not_count():
+    """A host that renews its lease after a cut has not read the others' yet."""
+    table = LivenessTable(TIMING)
+    table.update([make_heartbeat(1)], START)
+    later = START + 10 * DEAD_AFTER
+    assert not table.is_dead('h1/b1', later)
+    assert not table.is_dead('h9/b9', later)
+    assert not table.is_dead('h9/b9', later + 10 * DEAD_AFTER)
+    assert table.live_owners(later) == ['h1/b1']
+
+
 def test_a_host_that_was_dead_before_a_gap_stays_dead():
     """Otherwise it would get work again after each store outage."""
     table = LivenessTable(TIMING)
--- a/packages/rollouts/sequoia_rollouts/ownership.py
+++ b/packages/rollouts/sequoia_rollouts/ownership.py
@@ -234,16 +234,18 @@
     async def _adopt(self, submission_id: str) -> None:
         owned = self.submissions[submission_id]
         try:
-            await self._change_owner(owned, self.heartbeats.owner)
+            changed = await self._change_owner(owned, self.heartbeats.owner)
         except ServiceError as failure:
             NOT_ADOPTED.write(submission=submission_id, detail=failure.detail)
-        else:
+            return
+        if changed:
             SUBMISSION_ADOPTED.write(
                 submission=submission_id,
                 before=owned.ownership.owner,
             )
 
-    async def _change_owner(self, owned: OwnedSubmission, owner: str) -> None:
+    async def _change_owner(self, owned: OwnedSubmission, owner: str) -> bool:
+        """Write a new owner; return whether that took effect."""
         ownership = evolve(owned.ownership, owner=owner)
         transaction = Transaction(
             (write_ownership(owned.id, ownership),),
@@ -254,8 +256,9 @@
             version = await committer.commit(transaction, COMMIT_TIMEOUT)
         except ConflictError as conflict:
             await self._apply_conflict(conflict)
-            return
+            return False
         await self.record(OwnedSubmission(owned.id, ownership, version))
+        return True
 
     async def _apply_conflict(self, conflict: ConflictError) -> None:
         for row in conflict.rows:
--- a/packages/rollouts/tests/fleet_simulation.py
+++ b/packages/rollouts/tests/fleet_simulation.py
@@ -125,15 +125,26 @@
     def owner(self):
         return self.heartbeats.own.heartbeat.owner
 
-    async def run_due(self, now):
+    async def run_due(self, now, rng):
+        """Do what is due, in random order."""
         if now < self.paused_until:
             return
+        actions = [self.read, self.write, self.count]
+        rng.shuffle(actions)
+        for action in actions:
+            await action(now)
+
+    async def read(self, now):
         if now >= self.read_at:
             await self.attempt(self.heartbeats.read)
             self.read_at = now + self.heartbeats.find_read_interval()
+
+    async def write(self, now):
         if now >= self.write_at:
             await self.attempt(self.keeper.step)
             self.write_at = now + self.keeper.find_interval()
+
+    async def count(self, now):
         if now >= self.census_at and self.heartbeats.liveness.last_read:
             await self.attempt(self.census.step)
             self.census_at = now + TICK
@@ -195,7 +206,7 @@
             self.rng.shuffle(hosts)
             for host in hosts:
                 before = host.heartbeats.is_coordinator
-                await host.run_due(self.clock.now)
+                await host.run_due(self.clock.now, self.rng)
                 if before and not host.heartbeats.is_coordinator:
                     self.losses += 1
             if check:
--- a/packages/rollouts/tests/test_coordination.py
+++ b/packages/rollouts/tests/test_coordination.py
@@ -177,6 +177,32 @@
     simulate(scenario)
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_hosts_that_were_cut_off_take_no_work_from_live_hosts(seed):
+    """They took it when they renewed their lease before their next read."""
+
+    async def scenario(fleet):
+        await start_large_fleet(fleet)
+        cut = [
+            host
+            for host in fleet.coordinators()
+            if host.heartbeats.own.domain == 'z0'
+        ]
+
+        def check():
+            for host in cut:
+                assert not find_dead(fleet, host)
+
+        for host in cut:
+            host.reaches_store = False
+        await fleet.run(3 * SECOND, check)
+        for host in cut:
+            host.reaches_store = True
+        await fleet.run(2 * SECOND, check)
+
+    simulate(scenario, seed)
+
+
 def test_lost_responses_cost_no_host_its_lease():
     async def scenario(fleet):
         await start_large_fleet(fleet)
