Claim a lease whose row cannot be read

Cause: a lease row with foreign content counted as free, so that all hosts of the failure domain tried to create it again and again and none could. Change: such a row is a lease that nobody renews; it is claimed with its version after the usual timeout.

--- a/packages/policy/sequoia_policy/liveness.py
+++ b/packages/policy/sequoia_policy/liveness.py
@@ -49,6 +49,9 @@
         return name_owner(self.host, self.boot)
 
 
+NO_HEARTBEAT = Heartbeat('', '', 0)  # of a lease that nobody renews
+
+
 @define
 class ObservedHeartbeat:
     """The newest heartbeat of a host and when it was first observed.
@@ -143,7 +146,8 @@
                 self._restart_timeouts(self.last_read, now)
         self.last_read = now
         for heartbeat in heartbeats:
-            self.record(heartbeat, now)
+            if heartbeat != NO_HEARTBEAT:
+                self.record(heartbeat, now)
         self._forget_expired(now)
 
     def record(self, heartbeat: Heartbeat, now: timedelta) -> None:
--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/heartbeats.py
@@ -12,7 +12,11 @@
     find_claimable_leases,
 )
 from sequoia_policy.errors import ServiceError
-from sequoia_policy.liveness import LivenessTable, LivenessTiming
+from sequoia_policy.liveness import (
+    NO_HEARTBEAT,
+    LivenessTable,
+    LivenessTiming,
+)
 from sequoia_policy.rates import StoreRates
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import parse_address
@@ -164,7 +168,7 @@
 
 
 def decode_leases(rows: Iterable[Row]) -> Iterable[CoordinatorLease]:
-    """Decode leases; a row that cannot be used is logged and left out."""
+    """Decode leases; a row that cannot be used is a lease that nobody renews."""
     for row in rows:
         if row.body is None:
             continue
@@ -172,6 +176,7 @@
             yield decode_lease(row)
         except (ServiceError, ValueError) as error:
             LEASE_IGNORED.write(lease=row.key.key, detail=str(error))
+            yield CoordinatorLease(row.key.key, row.version, NO_HEARTBEAT)
 
 
 def decode_lease(row: Row) -> CoordinatorLease:
--- a/packages/rollouts/sequoia_rollouts/lease_keepers.py
+++ b/packages/rollouts/sequoia_rollouts/lease_keepers.py
@@ -169,6 +169,7 @@
         self.heartbeats.own.drop()
 
     def find_interval(self) -> timedelta:
+        """Return the time to the next step."""
         if self.heartbeats.is_coordinator:
             return self.heartbeats.liveness.timing.interval
         return CLAIM_POLL_INTERVAL
--- a/packages/rollouts/tests/test_coordination.py
+++ b/packages/rollouts/tests/test_coordination.py
@@ -230,6 +230,22 @@
     )
 
 
+def test_a_lease_that_cannot_be_read_is_claimed_after_the_timeout():
+    """All hosts of the domain tried to claim it again and again."""
+
+    async def scenario(fleet):
+        write = RowWrite(lease_key('z0/0'), b'no heartbeat')
+        await fleet.store.commit(Transaction((write,)))
+        fleet.start_domains(1, HOSTS_PER_DOMAIN)
+        await fleet.run(8 * SECOND)
+        assert len(fleet.coordinators()) == 3
+        fleet.store.transactions = 0
+        await fleet.run(4 * SECOND)
+        return fleet.store.transactions / 4
+
+    assert simulate(scenario) < 15  # heartbeats of three coordinators
+
+
 def test_rows_of_other_writers_are_ignored():
     async def scenario(fleet):
         fleet.start_domains(1, 4)
