Send no order from a view of the duty that the store has not confirmed

Cause: a host that had been cut off got its lease renewed before it had read the ownership table again, so it still regarded itself as the holder of the duty and ordered an engine with its old fencing token, 47 ms after an order of the new holder. Where engines do not check tokens that breaks the order of holders. The time of the last response of a feed was also taken after the pause that follows it, up to a second too late.

Change: orders need a copy of the ownership table that the store confirmed within 2.5 s, less than a new holder waits; a host that becomes a coordinator again has none until it has listed the table. The time of a response is taken at once.

Measured: the new test failed before and passes.

--- a/packages/rollouts/sequoia_rollouts/followers.py
+++ b/packages/rollouts/sequoia_rollouts/followers.py
@@ -76,19 +76,25 @@
                 await curio.sleep(INACTIVE_POLL_INTERVAL.total_seconds())
 
     async def step(self) -> None:
-        """Read a listing, or the next changes.
+        """Read a listing, or the next changes; wait for the feed interval.
 
         Raises:
             HistoryLostError: If a listing is needed.
             ServiceError: If the store does not respond.
         """
+        started_at = self.clock.elapsed()
         if self.version is None:
             await self._list()
+            interval = timedelta()
         else:
             await self._follow(self.version)
+            interval = self.find_feed_interval()
         if self._is_failing():
             STORE_IS_BACK.write(table=self.table)
         self.store_responded_at = self.clock.elapsed()
+        remaining = started_at + interval - self.store_responded_at
+        if remaining > timedelta():
+            await curio.sleep(remaining.total_seconds())
 
     def age(self) -> timedelta | None:
         """Return the time since the store last confirmed the table."""
@@ -96,6 +102,15 @@
             return None
         return self.clock.elapsed() - self.store_responded_at
 
+    def is_current(self, max_age: timedelta) -> bool:
+        """Return whether the store confirmed the table within ``max_age``.
+
+        A host that needs the table again has an old copy until it has listed
+        it.
+        """
+        age = self.age()
+        return self.version is not None and age is not None and age < max_age
+
     def failed_within(self, span: timedelta) -> bool:
         """Return whether the store failed within the last ``span``."""
         if self.store_failed_at is None:
@@ -126,16 +141,10 @@
         return await read_all(self.store, RowRange(self.table, partition))
 
     async def _follow(self, after: int) -> None:
-        started_at = self.clock.elapsed()
         changes = await self.store.follow(self.table, after, FEED_TIMEOUT)
         for row in changes.rows:
             await self.on_change(row)
         self.version = max(after, changes.version)
-        remaining = (
-            started_at + self.find_feed_interval() - self.clock.elapsed()
-        )
-        if remaining > timedelta():
-            await curio.sleep(remaining.total_seconds())
 
     def _is_failing(self) -> bool:
         """Return whether the store has failed since it last responded."""
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -44,6 +44,9 @@
 COMMIT_TIMEOUT = timedelta(milliseconds=600)
 RETRY_BACKOFF = timedelta(milliseconds=300)
 HANDOVER_MARGIN = timedelta(milliseconds=300)  # added to the order lease
+# Another host that takes the duty waits longer before its first order, so that
+# a view of this age would show it.
+MAX_OWNERSHIP_AGE = timedelta(milliseconds=2500)
 
 log = Log('weights')
 DUTY_TAKEN = log.event('duty taken', 'duty', 'before')
@@ -124,6 +127,8 @@
         heartbeats = self.ownership.heartbeats
         if not heartbeats.holds_lease() or heartbeats.is_draining:
             return False
+        if not self.ownership.follower.is_current(MAX_OWNERSHIP_AGE):
+            return False
         return self.clock.elapsed() >= self.earliest_order_at
 
     async def release(self) -> None:
--- a/packages/rollouts/tests/test_path.py
+++ b/packages/rollouts/tests/test_path.py
@@ -455,3 +455,25 @@
     ]
     half_complete_after = sorted(complete_after)[3]
     assert half_complete_after < 12
+
+
+def test_a_host_sends_no_order_from_an_old_view_of_its_duty():
+    """A host that was cut off renewed its lease and ordered at once."""
+
+    async def main():
+        async with open_site() as site:
+            host = site.hosts[0]
+            await wait_until(lambda: host.ownership.duties)
+            manager = host.weights.managers['pool']
+            owned = host.ownership.duties[manager.duty]
+            await wait_until(lambda: manager.may_order(owned))
+            site.store.down = 503
+            await wait_until(lambda: not host.heartbeats.holds_lease())
+            await curio.sleep(2)
+            host.heartbeats.own.renewed_at = host.clock.elapsed()
+            allowed_while_unknown = manager.may_order(owned)
+            site.store.down = 0
+            await wait_until(lambda: manager.may_order(owned))
+            return allowed_while_unknown
+
+    assert curio.run(main) is False
