Accept submissions that exceed one transaction; bound saved rows in bytes

Cause: a submission was stored in one transaction, and the store takes 100 entries and 1 MB. Progress and results had the same fault in small: rows were bounded in characters, so Chinese or escaped text exceeds a row of 64 KiB, and every later save of all items failed with it; a result over 1 MB kept its submission from ever being complete.

Change: rows are written in several transactions under a marker row, and the last one writes the ownership, which accepts the submission. Hosts that store the same submission write the same rows. Markers older than two minutes are removed with their rows, guarded so that a new acceptance keeps them. A result that fits into no transaction ends its item as dead.

--- a/packages/rollouts/sequoia_rollouts/censuses.py
+++ b/packages/rollouts/sequoia_rollouts/censuses.py
@@ -128,7 +128,7 @@
 
     async def _remove(self, rows: list[Row]) -> None:
         if rows:
-            writes = tuple(RowWrite(row.key, None) for row in rows)
+            writes = tuple(RowWrite(row.key) for row in rows)
             await self.store.commit(Transaction(writes))
 
 
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -13,6 +13,7 @@
 from sequoia_wire.logs import OUTPUT, Log
 from sequoia_wire.servers import HttpServer
 
+from sequoia_rollouts.abandonments import AbandonmentSweeper
 from sequoia_rollouts.dialects import TargetDialect
 from sequoia_rollouts.coordination import Coordination
 from sequoia_rollouts.directories import Directory, DirectoryReader
@@ -77,6 +78,7 @@
     weights: WeightManagers = field(init=False)
     front: HttpServer = field(init=False)
     sweeper: Sweeper = field(init=False)
+    abandonments: AbandonmentSweeper = field(init=False)
     status: StatusServers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -135,6 +137,7 @@
             self.settings.order_lease,
         )
         self.sweeper = Sweeper(store, self.clock, self.ownership)
+        self.abandonments = AbandonmentSweeper(store, self.ownership)
         self.status = StatusServers(self)
 
     @property
@@ -189,6 +192,7 @@
             self.ownership.run_adoption,
             self.weights.run,
             self.sweeper.run,
+            self.abandonments.run,
             self.reloader.run,
             self.run_log_flushes,
         ):
--- a/packages/rollouts/sequoia_rollouts/lease_keepers.py
+++ b/packages/rollouts/sequoia_rollouts/lease_keepers.py
@@ -158,7 +158,7 @@
             return
         key = lease_key(lease.name)
         transaction = Transaction(
-            (RowWrite(key, None),), (Guard(key, lease.version),)
+            (RowWrite(key),), (Guard(key, lease.version),)
         )
         try:
             await self.store.commit(transaction)
--- a/packages/rollouts/sequoia_rollouts/progress.py
+++ b/packages/rollouts/sequoia_rollouts/progress.py
@@ -5,7 +5,7 @@
 last saved event.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 
 import curio
@@ -15,11 +15,13 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
+from sequoia_rollouts.batches import split_writes
 from sequoia_rollouts.generations import GeneratedEvent, Generation
 from sequoia_rollouts.stores import (
     ConflictError,
     Guard,
     Row,
+    RowKey,
     RowWrite,
     Store,
     Transaction,
@@ -27,9 +29,7 @@
 from sequoia_rollouts.tables import progress_key, submission_key
 
 SAVE_INTERVAL = timedelta(milliseconds=500)
-MAX_ROWS = 48  # of one transaction
-MAX_CHARACTERS = 400_000  # of the texts of one transaction
-MAX_ROW_CHARACTERS = 30_000  # of the texts of one row
+MAX_EVENTS_BYTES = 40_000  # of the encoded events of one row
 
 log = Log('progress')
 NOT_SAVED = log.event(
@@ -53,11 +53,6 @@
     start: int
     events: tuple[GeneratedEvent, ...] = field(repr=False)
 
-    @property
-    def size(self) -> int:
-        """Total length of the texts in characters."""
-        return sum(len(event.text) for event in self.events)
-
 
 @define(eq=False)
 class ProgressSaver:
@@ -94,32 +89,36 @@
             for generation in self.generations.values()
             for piece in self._collect(generation)
         ]
-        for batch in split_batches(unsaved):
-            await self._write(batch)
+        writes = {self._make_key(piece): piece for piece in unsaved}
+        rows = [RowWrite(key, encode(piece)) for key, piece in writes.items()]
+        for batch in split_writes(rows):
+            await self._write(batch, [writes[row.key] for row in batch])
 
     def _collect(self, generation: Generation) -> list[SavedEvents]:
-        """Return the unsaved events of an item, split to fit into rows."""
+        """Return the unsaved events of an item, split to fit into rows.
+
+        An event that fits into no row ends what is saved of the item.
+        """
         saved_count = self.saved.get(find_generation_key(generation), 0)
         pieces = []
         while saved_count < len(generation.events):
             piece = slice_events(generation, saved_count)
+            if not piece.events:
+                break
             pieces.append(piece)
             saved_count += len(piece.events)
         return pieces
 
-    async def _write(self, batch: list[SavedEvents]) -> None:
-        writes = tuple(
-            RowWrite(
-                progress_key(
-                    self.submission.id,
-                    piece.item,
-                    piece.restart,
-                    piece.start,
-                ),
-                encode(piece),
-            )
-            for piece in batch
+    def _make_key(self, piece: SavedEvents) -> RowKey:
+        return progress_key(
+            self.submission.id, piece.item, piece.restart, piece.start
         )
+
+    async def _write(
+        self,
+        writes: tuple[RowWrite, ...],
+        batch: Sequence[SavedEvents],
+    ) -> None:
         owner_guard = Guard(
             submission_key(self.submission.id), self.find_version()
         )
@@ -147,8 +146,8 @@
     size = 0
     end = start
     while end < len(generation.events):
-        size += len(generation.events[end].text)
-        if size > MAX_ROW_CHARACTERS and end > start:
+        size += len(encode(generation.events[end]))
+        if size > MAX_EVENTS_BYTES:
             break
         end += 1
     return SavedEvents(
@@ -159,19 +158,6 @@
     )
 
 
-def split_batches(pieces: list[SavedEvents]) -> list[list[SavedEvents]]:
-    """Group saved events into batches that each fit into one transaction."""
-    batches: list[list[SavedEvents]] = []
-    size = 0
-    for piece in pieces:
-        size += piece.size
-        if not batches or len(batches[-1]) >= MAX_ROWS or size > MAX_CHARACTERS:
-            batches.append([])
-            size = piece.size
-        batches[-1].append(piece)
-    return batches
-
-
 def restore_generations(
     submission: Submission,
     rows: Iterable[Row],
--- a/packages/rollouts/sequoia_rollouts/recorders.py
+++ b/packages/rollouts/sequoia_rollouts/recorders.py
@@ -5,10 +5,12 @@
 import curio
 from attrs import define, field
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_policy.submissions import ItemResult, Submission
+from sequoia_policy.submissions import ItemResult, ItemState, Submission
+from sequoia_wire.codecs import encode
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.archives import join_results
+from sequoia_rollouts.batches import MAX_BYTES, MAX_WRITES
 from sequoia_rollouts.stores import (
     ABSENT,
     Committer,
@@ -25,8 +27,7 @@
 )
 
 COMMIT_TIMEOUT = timedelta(seconds=1)
-MAX_ROWS = 48  # of one transaction
-MAX_BYTES = 400_000  # of one transaction
+MAX_RESULT_BYTES = 600_000  # one transaction holds 1 MB in base64
 RETRY_BACKOFF = timedelta(milliseconds=100)
 POLL_INTERVAL = timedelta(milliseconds=5)
 
@@ -35,6 +36,10 @@
     'results wait', 'submission', 'count', 'detail', kind=LogKind.FAILURE
 )
 
+RESULT_TOO_LARGE = log.event(
+    'result too large', 'request_id', 'submission', kind=LogKind.FAILURE
+)
+
 
 @define(eq=False)
 class Recorder:
@@ -63,7 +68,16 @@
         return len(self.stored) >= len(self.submission.items)
 
     def add(self, item_result: ItemResult) -> None:
-        """Add a result that is to be written."""
+        """Add a result that is to be written.
+
+        An item whose result fits into no transaction is dead. Otherwise its
+        submission would never be complete.
+        """
+        if len(encode(item_result)) > MAX_RESULT_BYTES:
+            RESULT_TOO_LARGE.write(
+                request_id=item_result.id, submission=self.submission.id
+            )
+            item_result = ItemResult(item_result.id, ItemState.DEAD)
         self.pending.append(item_result)
 
     async def run(self) -> None:
@@ -142,7 +156,7 @@
                 self.submission.id, position, item_result
             )
             size += sum(len(write.body or b'') for write in result_writes)
-            too_many = len(writes) + len(result_writes) > MAX_ROWS
+            too_many = len(writes) + len(result_writes) > MAX_WRITES
             if batch and (too_many or size > MAX_BYTES):
                 break
             batch.append(item_result)
--- a/packages/rollouts/sequoia_rollouts/stores.py
+++ b/packages/rollouts/sequoia_rollouts/stores.py
@@ -62,7 +62,7 @@
     """New content of a row; None removes it."""
 
     key: RowKey
-    body: bytes | None = field(repr=False)
+    body: bytes | None = field(default=None, repr=False)
 
 
 @frozen
--- a/packages/rollouts/sequoia_rollouts/submissions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions.py
@@ -7,9 +7,9 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.submissions import ItemResult, Ownership, Submission
-from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 
+from sequoia_rollouts.acceptances import ACCEPT_TIMEOUT, AcceptanceWriter
 from sequoia_rollouts.archives import Archive, StoredSubmission
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.item_runs import RunnerDependencies
@@ -18,7 +18,6 @@
 from sequoia_rollouts.result_pages import ResultPage, limit_page
 from sequoia_rollouts.runners import SubmissionRunner
 from sequoia_rollouts.stores import (
-    ABSENT,
     Committer,
     ConflictError,
     Guard,
@@ -32,7 +31,6 @@
     write_specification,
 )
 
-ACCEPT_TIMEOUT = timedelta(milliseconds=2500)
 END_TIMEOUT = timedelta(milliseconds=2500)
 READ_INTERVAL = timedelta(milliseconds=120)
 RETRY_AFTER = timedelta(milliseconds=500)
@@ -240,20 +238,16 @@
             min_version=submission.min_version,
             newest_version=self.directory.newest_version(submission.model),
         )
-        writes = (write_ownership(submission.id, ownership), *specification)
-        guards = tuple(Guard(write.key, ABSENT) for write in writes)
-        committer = Committer(self.store, self.clock)
-        try:
-            version = await committer.commit(
-                Transaction(writes, guards),
-                ACCEPT_TIMEOUT,
-            )
-        except ConflictError as conflict:
-            if conflict.find(submission_key(submission.id)) is None:
-                raise ServiceError(
-                    Code.STORE_CONFLICT,
-                    verdict=Verdict.MAY_HAVE_RUN,
-                ) from conflict
+        writer = AcceptanceWriter(
+            self.clock,
+            Committer(self.store, self.clock),
+            submission,
+            ownership,
+            specification,
+            self.clock.elapsed() + ACCEPT_TIMEOUT,
+        )
+        version = await writer.write()
+        if version is None:
             return None
         return OwnedSubmission(submission.id, ownership, version)
 
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -8,6 +8,7 @@
 from sequoia_policy.errors import ServiceError
 from sequoia_wire.logs import Log, LogKind
 
+from sequoia_rollouts.batches import split_writes
 from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
 from sequoia_rollouts.stores import (
     ConflictError,
@@ -28,13 +29,17 @@
 # Both count from acceptance. Callers may read a submission for 120 s.
 ENDED_RETENTION = timedelta(seconds=180)
 OPEN_RETENTION = timedelta(seconds=3600)  # for submissions never ended
-ROWS_PER_TRANSACTION = 50
 
 log = Log('sweep')
 SUBMISSION_REMOVED = log.event('submission removed', 'submission', 'rows')
 NOT_REMOVED = log.event('not removed', 'key', 'detail', kind=LogKind.FAILURE)
 
 
+def is_first(ownership: OwnershipTable, key: str) -> bool:
+    """Return whether this host sweeps what has this key."""
+    return ownership.choose_owner(key) == ownership.heartbeats.owner
+
+
 @define
 class Sweeper:
     """Removes expired submissions.
@@ -58,17 +63,11 @@
         for owned in tuple(self.ownership.submissions.values()):
             if not self._is_expired(owned):
                 continue
-            if self._is_first(owned.id):
+            if is_first(self.ownership, owned.id):
                 await self._try_remove(owned)
             elif not self.ownership.heartbeats.is_coordinator:
                 self.ownership.submissions.pop(owned.id, None)
 
-    def _is_first(self, key: str) -> bool:
-        """Return whether this host ranks first for a key among live hosts."""
-        return (
-            self.ownership.choose_owner(key) == self.ownership.heartbeats.owner
-        )
-
     def _is_expired(self, owned: OwnedSubmission) -> bool:
         age = self.ownership.heartbeats.store_now() - owned.ownership.accepted
         retention = ENDED_RETENTION if owned.ownership.ended else OPEN_RETENTION
@@ -89,13 +88,12 @@
             specification_range(owned.id),
         ):
             page = await read_all(self.store, key_range)
-            writes.extend(RowWrite(row.key, None) for row in page.rows)
-        for start in range(0, len(writes), ROWS_PER_TRANSACTION):
-            batch = tuple(writes[start : start + ROWS_PER_TRANSACTION])
+            writes.extend(RowWrite(row.key) for row in page.rows)
+        for batch in split_writes(writes):
             await self.store.commit(Transaction(batch))
         key = submission_key(owned.id)
         await self.store.commit(
-            Transaction((RowWrite(key, None),), (Guard(key, owned.version),)),
+            Transaction((RowWrite(key),), (Guard(key, owned.version),)),
         )
         self.ownership.submissions.pop(owned.id, None)
         SUBMISSION_REMOVED.write(submission=owned.id, rows=len(writes))
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -28,6 +28,7 @@
 
     Attributes:
         words: Number of events of a complete stream.
+        word_bytes: Minimum length of a word.
         pace: Seconds between two events.
         break_after: Events after which the next stream is aborted; 0 for never.
         silent_after: Events after which the next stream sends nothing more and
@@ -47,6 +48,7 @@
 
     name: str
     words: int = 3
+    word_bytes: int = 0
     pace: float = 0.005
     version: int = 1
     break_after: int = 0
@@ -182,7 +184,8 @@
             if version != self.version:
                 version = self.version
                 change = f'weight-versions: {version}\n'
-            event = f'{change}id: {number}\ndata: {request_id}-{number}\n\n'
+            word = f'{request_id}-{number}'.ljust(self.word_bytes, '.')
+            event = f'{change}id: {number}\ndata: {word}\n\n'
             await exchange.send(event.encode())
         await exchange.finish()
 
--- a/packages/rollouts/tests/store_standin.py
+++ b/packages/rollouts/tests/store_standin.py
@@ -11,6 +11,9 @@
 
 FEED_POLL_INTERVAL = 0.005  # seconds
 MAX_ROWS = 500
+MAX_ENTRIES = 100  # of one transaction
+MAX_TRANSACTION_BYTES = 1_000_000
+MAX_VALUE_CHARACTERS = 65536  # in base64
 
 
 @define(eq=False)
@@ -23,6 +26,10 @@
         history_start: Version before which the history is discarded.
         down: Status of every response while the store is down; 0 if it is up.
         responses_to_lose: Number of further transactions that get no response.
+        transactions_until_down: Number of further transactions on the tables
+            ``cut_off_tables`` before these are refused; None for no limit.
+        refused: Number of transactions over the limits.
+        now_ms: The reading of the store's clock.
         calls: Number of calls by path.
     """
 
@@ -32,6 +39,10 @@
     history_start: int = 0
     down: int = 0
     responses_to_lose: int = 0
+    transactions_until_down: int | None = None
+    cut_off_tables: frozenset = frozenset()
+    refused: int = 0
+    now_ms: int = 50000
     calls: dict = field(factory=dict)
     server: HttpServer = field(init=False)
 
@@ -94,7 +105,7 @@
             ).items()
         }
         if path == '/v1/rows-tx':
-            status, fields = self.transact(orjson.loads(body))
+            status, fields = self.transact_within_limits(body)
             if self.responses_to_lose:
                 self.responses_to_lose -= 1
                 raise ConnectionAbortedError('response lost')
@@ -104,9 +115,34 @@
             status, fields = await self.follow(query)
         await exchange.respond(
             status,
-            orjson.dumps({**fields, 'ver': self.version, 'nowMs': 50000}),
+            orjson.dumps({**fields, 'ver': self.version, 'nowMs': self.now_ms}),
         )
 
+    def transact_within_limits(self, body):
+        fields = orjson.loads(body)
+        entries = [
+            entry
+            for name in ('expectedRev', 'setKeys', 'remove')
+            for entry in fields[name]
+        ]
+        if self.is_cut_off(entries):
+            return 503, {}
+        values = [len(entry['value']) for entry in fields['setKeys']]
+        too_large = len(body) > MAX_TRANSACTION_BYTES
+        too_large = too_large or max(values, default=0) > MAX_VALUE_CHARACTERS
+        if too_large or len(entries) > MAX_ENTRIES:
+            self.refused += 1
+            return 413, {}
+        return self.transact(fields)
+
+    def is_cut_off(self, entries):
+        if self.transactions_until_down is None:
+            return False
+        if any(entry['table'] in self.cut_off_tables for entry in entries):
+            self.transactions_until_down -= 1
+            return self.transactions_until_down < 0
+        return False
+
     def transact(self, fields):
         names = {
             read_name(entry): entry['ver'] for entry in fields['expectedRev']
@@ -118,11 +154,9 @@
         if not guards_hold:
             return 412, {'rows': [self.encode_row(name) for name in names]}
         written = [*fields['setKeys'], *fields['remove']]
-        assert len(written) + len(names) <= 100
         assert len({entry['part'] for entry in written}) == 1
         self.version += 1
         for entry in fields['setKeys']:
-            assert len(entry['value']) <= 65536
             self.write(read_name(entry), entry['value'])
         for entry in fields['remove']:
             self.write(read_name(entry), None)
--- a/packages/rollouts/tests/test_path.py
+++ b/packages/rollouts/tests/test_path.py
@@ -267,6 +267,17 @@
     assert len(runs) == 3
 
 
+def test_text_that_fits_into_no_transaction_ends_as_dead_item():
+    async def main():
+        async with open_site(engines=1, words=30) as site:
+            site.engines[0].word_bytes = 40_000
+            await site.submit(site.hosts[0], count=2)
+            return await site.read_all_results(site.hosts[0])
+
+    results = curio.run(main)
+    assert [item['state'] for item in results] == ['dead', 'dead']
+
+
 def test_live_requests_meet_objective_during_reward_calls():
     async def main():
         async with open_site(engines=3) as site:
--- a/packages/rollouts/tests/test_progress.py
+++ b/packages/rollouts/tests/test_progress.py
@@ -3,18 +3,20 @@
 from datetime import timedelta
 
 import curio
+import pytest
 from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 from sequoia_policy.submissions import Item, Submission
+from sequoia_rollouts.batches import MAX_BYTES
 from sequoia_rollouts.generations import GeneratedEvent, Generation
 from sequoia_rollouts.progress import (
-    MAX_ROW_CHARACTERS,
     ProgressSaver,
     SavedEvents,
     restore_generations,
 )
 from sequoia_rollouts.stores import ABSENT, Row, RowKey
+from sequoia_rollouts.tables import MAX_ROW_BYTES
 from sequoia_wire.codecs import encode
 from sites import open_site, wait_until
 
@@ -40,9 +42,13 @@
     def __init__(self):
         self.rows = {}
         self.commits = 0
+        self.transaction_bytes = []
 
     async def commit(self, transaction):
         self.commits += 1
+        self.transaction_bytes.append(
+            sum(len(write.body) for write in transaction.writes)
+        )
         for write in transaction.writes:
             self.rows[write.key.key] = write.body
         return self.commits
@@ -201,12 +207,39 @@
     store = MemoryRows()
     saver = make_saver(store, generation)
     curio.run(saver.save)
-    assert (
-        max(len(body) for body in store.rows.values()) < 2 * MAX_ROW_CHARACTERS
-    )
+    assert max(len(body) for body in store.rows.values()) <= MAX_ROW_BYTES
     assert restore(store).events == generation.events
 
 
+@pytest.mark.parametrize('character', ['a', '"', '\n', '\x00', '字', '🌧'])
+def test_rows_and_transactions_fit_whatever_the_text_is(character):
+    texts = [character * 1000] * 300
+    events = [
+        GeneratedEvent(str(number), text, 1)
+        for number, text in enumerate(texts, start=1)
+    ]
+    store = MemoryRows()
+    curio.run(make_saver(store, Generation(ITEM, events)).save)
+    assert max(len(body) for body in store.rows.values()) <= MAX_ROW_BYTES
+    assert max(store.transaction_bytes) <= MAX_BYTES
+    assert restore(store).events == events
+
+
+def test_event_that_fits_into_no_row_keeps_no_other_item_from_being_saved():
+    huge = GeneratedEvent('2', 'x' * 100_000, 1)
+    first, last = make_events(3)[::2]
+    generation = Generation(ITEM, [first, huge, last])
+    other = Generation(Item('item1', '/x'), make_events(4))
+    store = MemoryRows()
+    saver = make_saver(store, generation)
+    saver.generations['item1'] = other
+    curio.run(saver.save)
+    submission = evolve(SUBMISSION, items=(ITEM, other.item))
+    restored = restore_generations(submission, store.list())
+    assert restored['item0'].events == [first]
+    assert restored['item1'].events == other.events
+
+
 def test_save_without_new_events_writes_nothing():
     generation = Generation(ITEM, make_events(3))
     store = MemoryRows()
