Read results from their owner while the store is away

A step was whole at 17.7 s; the store was away from 18.0 to 25.0 s, and every host but the owner answered the trainer's reads with 502 until then, so the step ended after 9.1 s of 7.5 s and the next ones started late. The owner had all stored results in memory.

Change: a host whose read of the store fails asks the owner, or a coordinator that knows it, over TCP at the address for other hosts; queries and replies are sealed with the keys of the hosts and repeat a nonce. After 2.5 s of silence it asks before it tries the store. Only stored results are returned, and nothing is denied. Reading is a class of its own, apart from accepting. A page is limited in bytes of UTF-8 instead of characters: 700,000 Chinese characters are 2.1 MB of the 1 MB allowed.

--- a/packages/rollouts/sequoia_rollouts/abandonments.py
+++ b/packages/rollouts/sequoia_rollouts/abandonments.py
@@ -13,7 +13,7 @@
     read_marker,
 )
 from sequoia_rollouts.batches import split_writes
-from sequoia_rollouts.ownership import OwnershipTable
+from sequoia_rollouts.ownership import OwnershipTable, is_first
 from sequoia_rollouts.stores import (
     ABSENT,
     ConflictError,
@@ -25,7 +25,6 @@
     Transaction,
     read_all,
 )
-from sequoia_rollouts.sweepers import is_first
 from sequoia_rollouts.tables import (
     PARTITIONS,
     specification_range,
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -8,12 +8,10 @@
 import curio
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
-from sequoia_wire.clients import HttpClient
 from sequoia_wire.exchanges import Exchange, ServerLimits
 from sequoia_wire.logs import OUTPUT, Log
 from sequoia_wire.servers import HttpServer
 
-from sequoia_rollouts.abandonments import AbandonmentSweeper
 from sequoia_rollouts.dialects import TargetDialect
 from sequoia_rollouts.coordination import Coordination
 from sequoia_rollouts.directories import Directory, DirectoryReader
@@ -22,7 +20,9 @@
 from sequoia_rollouts.item_runs import build_dependencies
 from sequoia_rollouts.live import LivePath
 from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
+from sequoia_rollouts.peer_reads import PeerReader
 from sequoia_rollouts.reloads import SettingsReloader
+from sequoia_rollouts.result_reads import ResultReader
 from sequoia_rollouts.senders import Sender
 from sequoia_rollouts.settings import HostSettings
 from sequoia_rollouts.shutdowns import Shutdown
@@ -76,9 +76,9 @@
     live: LivePath = field(init=False)
     submission_handler: SubmissionHandler = field(init=False)
     weights: WeightManagers = field(init=False)
+    results: ResultReader = field(init=False)
     front: HttpServer = field(init=False)
     sweeper: Sweeper = field(init=False)
-    abandonments: AbandonmentSweeper = field(init=False)
     status: StatusServers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -105,7 +105,7 @@
             self._apply_ownership,
             self.directory.apply_engine_note,
         )
-        sender = Sender(self.clock, self.platform.dialect, HttpClient())
+        sender = Sender(self.clock, self.platform.dialect)
         dependencies = build_dependencies(
             self.clock,
             self.directory,
@@ -128,6 +128,12 @@
             dependencies,
             self.ownership,
         )
+        self.results = ResultReader(
+            self.clock,
+            self.directory,
+            self.submission_handler,
+            PeerReader(self.ownership, self.coordination.key_ring, self.rng),
+        )
         self.weights = WeightManagers(
             self.clock,
             self.directory,
@@ -137,7 +143,6 @@
             self.settings.order_lease,
         )
         self.sweeper = Sweeper(store, self.clock, self.ownership)
-        self.abandonments = AbandonmentSweeper(store, self.ownership)
         self.status = StatusServers(self)
 
     @property
@@ -183,8 +188,13 @@
         self._apply_limits()
         self.front.open()
         self.coordination.open()
+        peer_server = self.results.make_peer_server(
+            self.coordination.peers.address
+        )
+        peer_server.open()
         for loop in (
             self.front.run,
+            peer_server.run,
             self.directory.operator_follower.run,
             self.directory.target_follower.run,
             *self.coordination.loops,
@@ -192,7 +202,6 @@
             self.ownership.run_adoption,
             self.weights.run,
             self.sweeper.run,
-            self.abandonments.run,
             self.reloader.run,
             self.run_log_flushes,
         ):
--- a/packages/rollouts/sequoia_rollouts/ownership.py
+++ b/packages/rollouts/sequoia_rollouts/ownership.py
@@ -263,3 +263,8 @@
     async def _apply_conflict(self, conflict: ConflictError) -> None:
         for row in conflict.rows:
             await self._apply_row(row)
+
+
+def is_first(ownership: OwnershipTable, key: str) -> bool:
+    """Return whether this host performs upkeep of what has this key."""
+    return ownership.choose_owner(key) == ownership.heartbeats.owner
--- a/packages/rollouts/sequoia_rollouts/result_pages.py
+++ b/packages/rollouts/sequoia_rollouts/result_pages.py
@@ -3,7 +3,7 @@
 from attrs import field, frozen
 from sequoia_policy.submissions import ItemResult
 
-MAX_PAGE_CHARACTERS = 700_000  # of the texts in one response
+MAX_PAGE_BYTES = 700_000  # of the texts in one response
 
 
 @frozen
@@ -24,7 +24,7 @@
     """Return the first results that fit into one page, at least one."""
     size = 0
     for count, item_result in enumerate(results):
-        size += len(item_result.text)
-        if count and size > MAX_PAGE_CHARACTERS:
+        size += len(item_result.text.encode())
+        if count and size > MAX_PAGE_BYTES:
             return results[:count]
     return results
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/result_reads.py
@@ -0,0 +1,167 @@
+"""Returns the results and item bodies of submissions."""
+
+from contextlib import suppress
+from datetime import timedelta
+
+import curio
+from attrs import define
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.submissions import ItemResult
+from sequoia_wire.messages import Address
+from sequoia_wire.servers import HttpServer
+
+from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.peer_reads import PeerReader, PeerReadServer
+from sequoia_rollouts.result_pages import ResultPage, limit_page
+from sequoia_rollouts.submissions import SubmissionHandler
+
+READ_INTERVAL = timedelta(milliseconds=120)
+# Age of the newest response from which other hosts are asked before the store.
+STORE_SILENCE = timedelta(milliseconds=2500)
+PEER_WAIT = timedelta(milliseconds=300)  # callers have waited for the store
+
+
+@define
+class ResultReader:
+    """Reads submissions that any host runs.
+
+    Results come from memory if the submission runs here, else from the store,
+    and from other hosts while the store is away.
+    """
+
+    clock: Clock
+    directory: Directory
+    handler: SubmissionHandler
+    peer_reader: PeerReader
+
+    async def read(
+        self,
+        submission_id: str,
+        after: int,
+        timeout: timedelta,
+    ) -> ResultPage:
+        """Return results from a position on; wait for at least one.
+
+        Args:
+            submission_id: The submission.
+            after: Position of the first result to return.
+            timeout: How long to wait for a result.
+
+        Raises:
+            ServiceError: With code UNKNOWN_STEP only if the store confirms that
+                the submission does not exist.
+        """
+        deadline = self.clock.elapsed() + timeout
+        if self._is_store_silent():
+            with suppress(ServiceError):
+                return await self.peer_reader.read(
+                    submission_id, after, timeout
+                )
+        try:
+            return await self._read(submission_id, after, deadline)
+        except ServiceError as failure:
+            if failure.code is not Code.STORE_UNAVAILABLE:
+                raise
+            return await self._read_from_peers(submission_id, after, failure)
+
+    async def read_body(self, submission_id: str, item_id: str) -> bytes:
+        """Return the body of an item.
+
+        Raises:
+            ServiceError: With code UNKNOWN_STEP only if the store confirms that
+                the submission does not exist, or if it has no such item.
+        """
+        runner = self.handler.runners.get(submission_id)
+        if runner:
+            submission = runner.submission
+        else:
+            await self.handler.find(submission_id)
+            submission = await self.handler.archive.read_submission(
+                submission_id
+            )
+        item = submission.find_item(item_id)
+        if item is None:
+            raise ServiceError(Code.UNKNOWN_STEP, item_id)
+        return item.body
+
+    async def find_page(
+        self, submission_id: str, after: int, timeout: timedelta
+    ) -> ResultPage | None:
+        """Return stored results of a submission that runs on this host.
+
+        Args:
+            submission_id: The submission.
+            after: Position of the first result to return.
+            timeout: How long to wait for a result.
+
+        Returns:
+            None if the submission does not run here.
+        """
+        runner = self.handler.runners.get(submission_id)
+        if runner is None:
+            return None
+        await runner.recorder.wait(after, timeout)
+        results = limit_page(tuple(runner.recorder.stored[after:]))
+        return ResultPage(len(runner.submission.items), after, results)
+
+    def make_peer_server(self, address: Address) -> HttpServer:
+        """Return a server of results for other hosts that is not open yet."""
+        server = PeerReadServer(
+            self.peer_reader.key_ring, self.peer_reader, self.find_page
+        )
+        return HttpServer(address, server.handle)
+
+    async def _read(
+        self, submission_id: str, after: int, deadline: timedelta
+    ) -> ResultPage:
+        owned = await self.handler.find(submission_id)
+        total = owned.ownership.total
+        results: tuple[ItemResult, ...] = ()
+        while after < total and not results:
+            results = await self._read_once(submission_id, after, deadline)
+            if self.clock.elapsed() + READ_INTERVAL >= deadline:
+                break
+            if not results:
+                await curio.sleep(READ_INTERVAL.total_seconds())
+        return ResultPage(total, after, results)
+
+    async def _read_once(
+        self,
+        submission_id: str,
+        after: int,
+        deadline: timedelta,
+    ) -> tuple[ItemResult, ...]:
+        """Return a page of the results that are stored now.
+
+        If the submission runs on this host, wait until ``deadline`` for a
+        result.
+        """
+        runner = self.handler.runners.get(submission_id)
+        if runner:
+            remaining = deadline - self.clock.elapsed()
+            await runner.recorder.wait(after, max(timedelta(), remaining))
+            results = tuple(runner.recorder.stored[after:])
+            if results:
+                return limit_page(results)
+        return limit_page(
+            await self.handler.archive.read_results(submission_id, after)
+        )
+
+    async def _read_from_peers(
+        self, submission_id: str, after: int, failure: ServiceError
+    ) -> ResultPage:
+        """Return results that another host has in memory.
+
+        Raises:
+            ServiceError: The failure of the store if no host knows them.
+        """
+        try:
+            return await self.peer_reader.read(submission_id, after, PEER_WAIT)
+        except ServiceError:
+            raise failure from None
+
+    def _is_store_silent(self) -> bool:
+        """Return whether a call to the store would only cost the caller time."""
+        age = self.directory.target_follower.age()
+        return age is not None and age > STORE_SILENCE
--- a/packages/rollouts/sequoia_rollouts/submissions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions.py
@@ -1,4 +1,4 @@
-"""Accepts and ends submissions; returns their results and item bodies."""
+"""Accepts submissions, runs those of this host, and ends them."""
 
 from datetime import timedelta
 
@@ -6,7 +6,7 @@
 from attrs import define, evolve, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_policy.submissions import ItemResult, Ownership, Submission
+from sequoia_policy.submissions import Ownership, Submission
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.acceptances import ACCEPT_TIMEOUT, AcceptanceWriter
@@ -15,7 +15,6 @@
 from sequoia_rollouts.item_runs import RunnerDependencies
 from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
 from sequoia_rollouts.recorders import Recorder
-from sequoia_rollouts.result_pages import ResultPage, limit_page
 from sequoia_rollouts.runners import SubmissionRunner
 from sequoia_rollouts.stores import (
     Committer,
@@ -32,7 +31,6 @@
 )
 
 END_TIMEOUT = timedelta(milliseconds=2500)
-READ_INTERVAL = timedelta(milliseconds=120)
 RETRY_AFTER = timedelta(milliseconds=500)
 # Used when the route is no longer configured; equals the time for which callers
 # may read a submission.
@@ -51,7 +49,7 @@
 
 @define
 class SubmissionHandler:
-    """Accepts submissions, runs those this host owns, and serves reads of all.
+    """Accepts submissions, runs those that this host owns, and ends them.
 
     Attributes:
         runners: Runners of the submissions that run on this host, by id.
@@ -91,53 +89,6 @@
             owner=owned.ownership.owner,
         )
 
-    async def read(
-        self,
-        submission_id: str,
-        after: int,
-        timeout: timedelta,
-    ) -> ResultPage:
-        """Return results from a position on; wait for at least one.
-
-        Args:
-            submission_id: The submission.
-            after: Position of the first result to return.
-            timeout: How long to wait for a result.
-
-        Raises:
-            ServiceError: With code UNKNOWN_STEP only if the store confirms that
-                the submission does not exist.
-        """
-        deadline = self.clock.elapsed() + timeout
-        owned = await self._find(submission_id)
-        total = owned.ownership.total
-        results: tuple[ItemResult, ...] = ()
-        while after < total and not results:
-            results = await self._read_once(submission_id, after, deadline)
-            if self.clock.elapsed() + READ_INTERVAL >= deadline:
-                break
-            if not results:
-                await curio.sleep(READ_INTERVAL.total_seconds())
-        return ResultPage(total, after, results)
-
-    async def read_body(self, submission_id: str, item_id: str) -> bytes:
-        """Return the body of an item.
-
-        Raises:
-            ServiceError: With code UNKNOWN_STEP only if the store confirms that
-                the submission does not exist, or if it has no such item.
-        """
-        runner = self.runners.get(submission_id)
-        if runner:
-            submission = runner.submission
-        else:
-            await self._find(submission_id)
-            submission = await self.archive.read_submission(submission_id)
-        item = submission.find_item(item_id)
-        if item is None:
-            raise ServiceError(Code.UNKNOWN_STEP, item_id)
-        return item.body
-
     async def end(self, submission_id: str) -> None:
         """End a submission; return once the store has recorded it.
 
@@ -145,11 +96,27 @@
             ServiceError: If the store did not record it.
         """
         deadline = self.clock.elapsed() + END_TIMEOUT
-        owned = await self._find(submission_id)
+        owned = await self.find(submission_id)
         while not owned.ownership.ended:
             ended = evolve(owned.ownership, ended=True)
             owned = await self._write_end(owned, ended, deadline)
 
+    async def find(self, submission_id: str) -> OwnedSubmission:
+        """Return a submission's ownership, from the store if not known here."""
+        known = self.ownership.submissions.get(submission_id)
+        if known:
+            return known
+        key = submission_key(submission_id)
+        page = await self.store.read(
+            RowRange(key.table, key.part, key.key, f'{key.key}\0'),
+        )
+        for row in page.rows:
+            await self.ownership.follower.on_change(row)
+        known = self.ownership.submissions.get(submission_id)
+        if known is None:
+            raise ServiceError(Code.UNKNOWN_STEP, submission_id)
+        return known
+
     async def apply_ownership_change(self, owned: OwnedSubmission) -> None:
         """Start or stop the runner of a submission whose ownership changed."""
         runner = self.runners.get(owned.id)
@@ -251,42 +218,6 @@
             return None
         return OwnedSubmission(submission.id, ownership, version)
 
-    async def _find(self, submission_id: str) -> OwnedSubmission:
-        """Return a submission's ownership, from the store if not known here."""
-        known = self.ownership.submissions.get(submission_id)
-        if known:
-            return known
-        key = submission_key(submission_id)
-        page = await self.store.read(
-            RowRange(key.table, key.part, key.key, f'{key.key}\0'),
-        )
-        for row in page.rows:
-            await self.ownership.follower.on_change(row)
-        known = self.ownership.submissions.get(submission_id)
-        if known is None:
-            raise ServiceError(Code.UNKNOWN_STEP, submission_id)
-        return known
-
-    async def _read_once(
-        self,
-        submission_id: str,
-        after: int,
-        deadline: timedelta,
-    ) -> tuple[ItemResult, ...]:
-        """Return a page of the results that are stored now.
-
-        If the submission runs on this host, wait until ``deadline`` for a
-        result.
-        """
-        runner = self.runners.get(submission_id)
-        if runner:
-            remaining = deadline - self.clock.elapsed()
-            await runner.recorder.wait(after, max(timedelta(), remaining))
-            results = tuple(runner.recorder.stored[after:])
-            if results:
-                return limit_page(results)
-        return limit_page(await self.archive.read_results(submission_id, after))
-
     async def _write_end(
         self,
         owned: OwnedSubmission,
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -3,13 +3,18 @@
 from datetime import timedelta
 
 import curio
-from attrs import define
+from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ServiceError
 from sequoia_wire.logs import Log, LogKind
 
+from sequoia_rollouts.abandonments import AbandonmentSweeper
 from sequoia_rollouts.batches import split_writes
-from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
+from sequoia_rollouts.ownership import (
+    OwnedSubmission,
+    OwnershipTable,
+    is_first,
+)
 from sequoia_rollouts.stores import (
     ConflictError,
     Guard,
@@ -18,6 +23,7 @@
     Transaction,
     read_all,
 )
+from sequoia_rollouts.supervisors import supervise
 from sequoia_rollouts.tables import (
     progress_range,
     results_range,
@@ -35,11 +41,6 @@
 NOT_REMOVED = log.event('not removed', 'key', 'detail', kind=LogKind.FAILURE)
 
 
-def is_first(ownership: OwnershipTable, key: str) -> bool:
-    """Return whether this host sweeps what has this key."""
-    return ownership.choose_owner(key) == ownership.heartbeats.owner
-
-
 @define
 class Sweeper:
     """Removes expired submissions.
@@ -51,9 +52,20 @@
     store: Store
     clock: Clock
     ownership: OwnershipTable
+    abandonments: AbandonmentSweeper = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the sweeper of abandoned acceptances."""
+        self.abandonments = AbandonmentSweeper(self.store, self.ownership)
 
     async def run(self) -> None:
         """Sweep until cancelled."""
+        async with curio.TaskGroup(wait=all) as group:
+            await group.spawn(supervise, self.abandonments.run)
+            await group.spawn(supervise, self.run_removals)
+
+    async def run_removals(self) -> None:
+        """Remove expired submissions until cancelled."""
         while True:
             await curio.sleep(SWEEP_INTERVAL.total_seconds())
             await self.sweep()
--- a/packages/rollouts/tests/test_acceptances.py
+++ b/packages/rollouts/tests/test_acceptances.py
@@ -123,11 +123,11 @@
             response = await submit_large(site, host, make_large_lot())
             site.store.transactions_until_down = None
             left = len(site.store.find(SPECIFICATIONS))
-            await host.abandonments.sweep()
+            await host.sweeper.abandonments.sweep()
             kept = len(site.store.find(SPECIFICATIONS))
             site.store.now_ms += 10 * 60 * 1000
             await host.heartbeats.refresh()
-            await host.abandonments.sweep()
+            await host.sweeper.abandonments.sweep()
             return response, left, kept, site.store
 
     response, left, kept, store = curio.run(main)
