--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -29,7 +29,7 @@
 from sequoia_rollouts.status import StatusServers
 from sequoia_rollouts.stores import Committer, Store
 from sequoia_rollouts.submissions import SubmissionHandler
-from sequoia_rollouts.supervisors import supervise
+from sequoia_rollouts.supervisors import filter_loop_log, supervise
 from sequoia_rollouts.sweepers import Sweeper
 from sequoia_rollouts.weights import WeightManagers
 
@@ -169,6 +169,7 @@
         Args:
             handler: Responds to one request of a caller.
         """
+        filter_loop_log()
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_reload)
