Publish registrations in large fleets instead of every renewal

Cause: targets renew their registrations every 1.2 s, and each host read all renewals: with 2,997 targets 2,500 rows a second are offered to each of 300 hosts, which received 75 kB a second and had a view that was seconds old; with 600 targets it would be about 200 kB a second per host (computed).

Change: above 100 targets coordinators read the registrations ten times a second and publish the differences, without loaded versions, in a table of their own, ranked and staggered, guarded by row and by how far they have read. The other hosts follow that table while its marker is renewed, else the registrations.

--- a/packages/rollouts/sequoia_rollouts/coordination.py
+++ b/packages/rollouts/sequoia_rollouts/coordination.py
@@ -6,6 +6,7 @@
 
 from attrs import define, evolve, field
 from sequoia_policy.clocks import Clock
+from sequoia_wire.messages import Address
 
 from sequoia_rollouts.censuses import Census
 from sequoia_rollouts.heartbeats import HeartbeatService
@@ -72,12 +73,16 @@
         )
         return (*leases, self.census.run, *messages)
 
-    def open(self) -> None:
+    def open(self, address: Address) -> None:
         """Bind the address for other hosts and announce it in heartbeats.
 
+        Args:
+            address: Where this host already listens over TCP.
+
         Raises:
             OSError: If it cannot be bound.
         """
+        self.peers.address = address
         self.peers.open()
         own = self.heartbeats.own
         own.heartbeat = evolve(own.heartbeat, address=str(self.peers.address))
--- a/packages/rollouts/sequoia_rollouts/directories.py
+++ b/packages/rollouts/sequoia_rollouts/directories.py
@@ -70,6 +70,7 @@
             changes.
         versions: Newest named version by model.
         observers: Called after each change of the operator table.
+        target_sources: Followers of the tables from which targets are known.
     """
 
     store: Store
@@ -82,6 +83,7 @@
     observers: list[Callable[[], None]] = field(factory=list)
     operator_follower: TableFollower = field(init=False)
     target_follower: TableFollower = field(init=False)
+    target_sources: list[TableFollower] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the followers of both tables."""
@@ -102,6 +104,8 @@
             self.find_feed_interval,
         )
 
+        self.target_sources = [self.target_follower]
+
     @property
     def is_loaded(self) -> bool:
         """Whether a configuration and the targets have been read."""
@@ -109,6 +113,13 @@
             return False
         return self.configuration.version > 0
 
+    def targets_age(self) -> timedelta | None:
+        """Return the time since the store last confirmed the targets."""
+        ages = [
+            source.age() for source in self.target_sources if source.is_active()
+        ]
+        return min((age for age in ages if age is not None), default=None)
+
     def newest_version(self, model: str) -> int:
         """Return the newest named version of a model."""
         return max(INITIAL_VERSION, self.versions.get(model, 0))
--- a/packages/rollouts/sequoia_rollouts/followers.py
+++ b/packages/rollouts/sequoia_rollouts/followers.py
@@ -48,7 +48,8 @@
             changes.
         is_active: Returns whether this host needs the table now.
         version: Version up to which changes were applied; None before the
-            first listing.
+            first listing, and while this host does not need the table.
+        last_version: Newest version up to which changes were ever applied.
         store_responded_at: When the store last responded.
         store_failed_at: When the store last failed to respond.
     """
@@ -62,6 +63,7 @@
     partitions: tuple[str, ...] = ('',)
     is_active: Callable[[], bool] = is_always_active
     version: int | None = None
+    last_version: int = 0
     store_responded_at: timedelta | None = None
     store_failed_at: timedelta | None = None
     listed: curio.Event = field(factory=curio.Event)
@@ -134,7 +136,7 @@
         ]
         rows = [row for page in pages for row in page.rows]
         await self.on_listing(tuple(rows))
-        self.version = min(page.version for page in pages)
+        self._advance(min(page.version for page in pages))
         await self.listed.set()
 
     async def _read_partition(self, partition: str) -> RowPage:
@@ -144,7 +146,11 @@
         changes = await self.store.follow(self.table, after, FEED_TIMEOUT)
         for row in changes.rows:
             await self.on_change(row)
-        self.version = max(after, changes.version)
+        self._advance(max(after, changes.version))
+
+    def _advance(self, version: int) -> None:
+        self.version = version
+        self.last_version = max(self.last_version, version)
 
     def _is_failing(self) -> bool:
         """Return whether the store has failed since it last responded."""
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -21,9 +21,9 @@
 from sequoia_rollouts.live import LivePath
 from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
 from sequoia_rollouts.peer_reads import PeerReader
+from sequoia_rollouts.publishers import RegistrationPublisher
 from sequoia_rollouts.reloads import SettingsReloader
 from sequoia_rollouts.result_reads import ResultReader
-from sequoia_rollouts.senders import Sender
 from sequoia_rollouts.settings import HostSettings
 from sequoia_rollouts.shutdowns import Shutdown
 from sequoia_rollouts.status import StatusServers
@@ -78,6 +78,7 @@
     weights: WeightManagers = field(init=False)
     results: ResultReader = field(init=False)
     front: HttpServer = field(init=False)
+    publisher: RegistrationPublisher = field(init=False)
     sweeper: Sweeper = field(init=False)
     status: StatusServers = field(init=False)
 
@@ -105,18 +106,17 @@
             self._apply_ownership,
             self.directory.apply_engine_note,
         )
-        sender = Sender(self.clock, self.platform.dialect)
         dependencies = build_dependencies(
             self.clock,
             self.directory,
-            sender,
+            self.platform.dialect,
             self.ownership,
             self.rng,
         )
         self.live = LivePath(
             self.clock,
             self.directory,
-            sender,
+            dependencies.sender,
             self.rng,
             self.settings.domain,
             lambda: self.coordination.peers.is_cut_off,
@@ -137,11 +137,14 @@
         self.weights = WeightManagers(
             self.clock,
             self.directory,
-            sender,
+            dependencies.sender,
             self.ownership,
             Committer(store, self.clock),
             self.settings.order_lease,
         )
+        self.publisher = RegistrationPublisher(
+            store, self.clock, self.heartbeats, self.directory
+        )
         self.sweeper = Sweeper(store, self.clock, self.ownership)
         self.status = StatusServers(self)
 
@@ -158,6 +161,7 @@
             self.heartbeats.store_responded_at,
             self.directory.operator_follower.store_responded_at,
             self.directory.target_follower.store_responded_at,
+            self.publisher.published.follower.store_responded_at,
             self.ownership.follower.store_responded_at,
         )
         times = [time for time in responses if time is not None]
@@ -188,16 +192,15 @@
         self.front = HttpServer(self.settings.front, handler)
         self._apply_limits()
         self.front.open()
-        self.coordination.open()
-        peer_server = self.results.make_peer_server(
-            self.coordination.peers.address
-        )
+        peer_server = self.results.make_peer_server(self.settings.peer)
         peer_server.open()
+        self.coordination.open(peer_server.address)
         for loop in (
             self.front.run,
             peer_server.run,
             self.directory.operator_follower.run,
             self.directory.target_follower.run,
+            *self.publisher.loops,
             *self.coordination.loops,
             self.ownership.follower.run,
             self.ownership.run_adoption,
--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -20,6 +20,7 @@
 from sequoia_wire.durations import seconds_of
 from sequoia_wire.logs import Log, LogKind
 
+from sequoia_rollouts.dialects import TargetDialect
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.generations import (
     Generation,
@@ -98,7 +99,7 @@
 def build_dependencies(
     clock: Clock,
     directory: Directory,
-    sender: Sender,
+    dialect: TargetDialect,
     ownership: OwnershipTable,
     rng: random.Random,
 ) -> RunnerDependencies:
@@ -107,10 +108,11 @@
     Args:
         clock: The clock of the host.
         directory: Configuration and targets.
-        sender: Sends requests to targets.
+        dialect: The language of the targets.
         ownership: Knows this host and the hosts that run submissions.
         rng: Chooses targets, and the services of reward calls.
     """
+    sender = Sender(clock, dialect)
     placer = Placer(
         clock,
         directory,
@@ -287,9 +289,7 @@
             code=failure.code.value.label,
             detail=failure.detail,
             events=self._count_events(item),
-            targets_age=seconds_of(
-                self.dependencies.directory.target_follower.age()
-            ),
+            targets_age=seconds_of(self.dependencies.directory.targets_age()),
         )
         if failure.code is Code.MISPLACED:
             self.dependencies.directory.registry.remove(
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -104,7 +104,7 @@
             attempts=attempts.count,
             refusals=attempts.refusals,
             left=(attempts.deadline - self.clock.elapsed()).total_seconds(),
-            targets_age=seconds_of(self.directory.target_follower.age()),
+            targets_age=seconds_of(self.directory.targets_age()),
         )
 
     async def back_off(
--- a/packages/rollouts/sequoia_rollouts/result_reads.py
+++ b/packages/rollouts/sequoia_rollouts/result_reads.py
@@ -163,5 +163,5 @@
 
     def _is_store_silent(self) -> bool:
         """Return whether a call to the store would only cost the caller time."""
-        age = self.directory.target_follower.age()
+        age = self.directory.targets_age()
         return age is not None and age > STORE_SILENCE
--- a/packages/rollouts/sequoia_rollouts/status.py
+++ b/packages/rollouts/sequoia_rollouts/status.py
@@ -77,9 +77,7 @@
         self.metrics.set_age(
             'configuration', self.host.directory.operator_follower.age()
         )
-        self.metrics.set_age(
-            'targets', self.host.directory.target_follower.age()
-        )
+        self.metrics.set_age('targets', self.host.directory.targets_age())
         self.metrics.set_age('ownership', self.host.ownership.follower.age())
         self.metrics.set_age('lease', self.host.heartbeats.own.age())
         self.metrics.owned.set(len(self.host.submission_handler.runners))
--- a/packages/rollouts/tests/test_peer_reads.py
+++ b/packages/rollouts/tests/test_peer_reads.py
@@ -130,13 +130,14 @@
             replaying = HttpServer(Address('127.0.0.1', 0), replay)
             replaying.open()
             await curio.spawn(replaying.run, daemon=True)
+            site.store.down = 503
+            await curio.sleep(0.3)  # for a read that is on its way
             leases = others[0].heartbeats.leases
             for name, lease in leases.items():
                 heartbeat = evolve(
                     lease.heartbeat, address=str(replaying.address)
                 )
                 leases[name] = evolve(lease, heartbeat=heartbeat)
-            site.store.down = 503
             return await read_page(site, others[0])
 
     assert curio.run(main).status in {502, 503}
