Split the planner of loads and share the reading of HTTP events

Change: load_planners.py plans, weights.py holds the duty and sends orders; http_events.py reads events; ResponseLabels.is_signed. No stored or logged name changes. Measured: 181 tests of the rollouts, 269 of wire and policy pass.

--- a/packages/policy/sequoia_policy/registries.py
+++ b/packages/policy/sequoia_policy/registries.py
@@ -15,7 +15,7 @@
 SMOOTHING = 0.3  # weight of the newest sample in the moving average
 MAX_DURATION_AGE = timedelta(seconds=4)
 SLOW_FACTOR = 3  # multiple of the median duration above which one is slow
-DEFAULT_SECONDS = 0.05  # duration of a unit of work until one is measured
+DEFAULT_SECONDS = 0.05  # of a unit of work if no duration is known
 
 
 @frozen
--- a/packages/policy/sequoia_policy/submissions.py
+++ b/packages/policy/sequoia_policy/submissions.py
@@ -87,7 +87,7 @@
     Attributes:
         text: Data of all events, separated by line feeds.
         versions: Weight versions that generated an event, ascending.
-        score: Receipt of the reward call.
+        score: Signature of the target that scored it.
     """
 
     id: str
--- a/packages/rollouts/sequoia_rollouts/dialects.py
+++ b/packages/rollouts/sequoia_rollouts/dialects.py
@@ -35,18 +35,22 @@
 
     Attributes:
         request_id: Id of the request that the response belongs to.
-        receipt: Proof that the target made the response; empty if there is
-            none.
+        signature: Signature of the target; empty if there is none.
         not_run: Whether the target promises that the request did not run.
         version: Weight version that generated the first token; None if not
             stated.
     """
 
     request_id: str
-    receipt: str = ''
+    signature: str = ''
     not_run: bool = False
     version: int | None = None
 
+    @property
+    def is_signed(self) -> bool:
+        """Whether the target vouches for the response to this request."""
+        return bool(self.signature and self.request_id)
+
 
 @frozen
 class VersionOrder:
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -177,7 +177,7 @@
             target.running -= 1
         duration = self.clock.elapsed() - started_at
         target.record_duration(duration.total_seconds(), self.clock.elapsed())
-        check_receipt(labelled)
+        check_signature(labelled)
         return labelled
 
     def _log_response(self, attempts: LiveAttempts, response: Response) -> None:
@@ -194,16 +194,16 @@
         )
 
 
-def check_receipt(labelled: LabelledResponse) -> None:
-    """Check that a response without a server error carries a receipt.
+def check_signature(labelled: LabelledResponse) -> None:
+    """Check that a response without a server error is signed.
 
     Raises:
-        ServiceError: With code WRONG_ANSWER if the receipt or the request id
+        ServiceError: With code WRONG_ANSWER if the signature or the request id
             is missing.
     """
     if labelled.response.status >= MIN_ERROR_STATUS:
         return
-    if not labelled.labels.receipt or not labelled.labels.request_id:
+    if not labelled.labels.is_signed:
         raise ServiceError(
-            Code.WRONG_ANSWER, 'response has no receipt or request id'
+            Code.WRONG_ANSWER, 'response has no signature or request id'
         )
--- a/packages/rollouts/sequoia_rollouts/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live_streams.py
@@ -185,9 +185,9 @@
         self, stream: LiveStream, segment: StreamSegment
     ) -> None:
         labels = self.sender.dialect.read_labels(segment.head)
-        if not labels.receipt or not labels.request_id:
+        if not labels.is_signed:
             raise ServiceError(
-                Code.WRONG_ANSWER, 'response has no receipt or request id'
+                Code.WRONG_ANSWER, 'response has no signature or request id'
             )
         chunk = await segment.call.read_chunk()
         while chunk:
--- a/packages/rollouts/sequoia_rollouts/rewards.py
+++ b/packages/rollouts/sequoia_rollouts/rewards.py
@@ -58,7 +58,7 @@
         call: RewardCall,
         queue: WorkQueue,
     ) -> str:
-        """Return the receipt of a successful reward call.
+        """Return the signature of a successful reward call.
 
         Args:
             item: The item that is scored.
@@ -83,7 +83,7 @@
             finally:
                 await self.scorers.release(target)
             if self._is_success(labelled):
-                return labelled.labels.receipt
+                return labelled.labels.signature
             self._count_refusal(call, route, queue, labelled.response.status)
 
     def _find_route(self, call: RewardCall) -> Route:
@@ -122,7 +122,7 @@
     def _is_success(self, labelled: LabelledResponse) -> bool:
         if labelled.response.status >= MIN_UNSUCCESSFUL_STATUS:
             return False
-        return bool(labelled.labels.receipt and labelled.labels.request_id)
+        return labelled.labels.is_signed
 
     def _count_refusal(
         self,
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -1,30 +1,19 @@
 """Orders engines to load the versions that trainers name."""
 
-from collections.abc import Sequence
 from datetime import timedelta
 
 import curio
-from attrs import define, field, frozen
+from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ServiceError
-from sequoia_policy.loads import (
-    EngineState,
-    ModelNeed,
-    PlannedLoad,
-    plan_loads,
-)
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.routing import Service
-from sequoia_policy.submissions import (
-    count_expected_items,
-    find_allowed_staleness,
-)
 from sequoia_wire.codecs import encode
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.load_planners import LoadPlanner
 from sequoia_rollouts.orders import (
-    EXPECTED_LOAD_TIME,
     DesiredVersion,
     OrderPermit,
     OrderSender,
@@ -42,8 +31,6 @@
 from sequoia_rollouts.tables import Duty, duty_key
 
 POLL_INTERVAL = timedelta(milliseconds=50)
-# A plan visits all engines of a service; this leaves time for the orders.
-PLAN_PAUSE_PER_ENGINE = timedelta(microseconds=100)
 COMMIT_TIMEOUT = timedelta(milliseconds=600)
 RETRY_BACKOFF = timedelta(milliseconds=300)
 HANDOVER_MARGIN = timedelta(milliseconds=300)  # added to the order lease
@@ -61,14 +48,6 @@
 )
 
 
-@frozen
-class ObservedVersion:
-    """A named version and when this host first observed it."""
-
-    version: int
-    observed_at: timedelta
-
-
 @define(eq=False)
 class WeightManager:
     """Orders the engines of one service while this host owns the duty.
@@ -76,12 +55,7 @@
     Attributes:
         order_lease: Minimum time between orders of two hosts.
         earliest_order_at: When this host may send its first order.
-        observed_versions: When each version of a model was first observed.
-        pending_orders: The ordered version of each engine whose order has not
-            ended.
-        loading_until: When the newest load of each engine should end. The
-            engine's report confirms the end only later.
-        plan_at: When the loads are planned again.
+        planner: Plans the loads of the service.
     """
 
     clock: Clock
@@ -89,13 +63,14 @@
     ownership: OwnershipTable
     committer: Committer
     order_sender: OrderSender
-    service: Service
+    planner: LoadPlanner
     order_lease: timedelta
     earliest_order_at: timedelta = timedelta()
-    pending_orders: dict[str, DesiredVersion] = field(factory=dict)
-    observed_versions: dict[str, ObservedVersion] = field(factory=dict)
-    loading_until: dict[str, timedelta] = field(factory=dict)
-    plan_at: timedelta = timedelta()
+
+    @property
+    def service(self) -> Service:
+        """The service as configured now."""
+        return self.planner.service
 
     @property
     def duty(self) -> str:
@@ -110,13 +85,10 @@
             return
         if not self.may_order(owned):
             return
-        for load in self._plan():
+        for load in self.planner.plan():
             target = self.directory.registry.targets[load.engine]
             desired = DesiredVersion(load.model, load.version)
-            self.pending_orders[target.name] = desired
-            self.loading_until[target.name] = (
-                self.clock.elapsed() + EXPECTED_LOAD_TIME
-            )
+            self.planner.record_start(target.name, desired)
             await curio.spawn(
                 self._run_order,
                 target,
@@ -189,68 +161,6 @@
         self.ownership.record_duty(OwnedDuty(self.duty, owner, written))
         return True
 
-    def _plan(self) -> tuple[PlannedLoad, ...]:
-        """Return the orders that are due now."""
-        now = self.clock.elapsed()
-        if now < self.plan_at:
-            return ()
-        needs = [
-            self._find_need(model, now)
-            for model in self.service.models
-            if model in self.directory.versions
-        ]
-        engines = self._describe_engines(needs, now)
-        self.plan_at = now + len(engines) * PLAN_PAUSE_PER_ENGINE
-        in_flight = sum(until > now for until in self.loading_until.values())
-        return plan_loads(engines, needs, in_flight)
-
-    def _describe_engines(
-        self, needs: Sequence[ModelNeed], now: timedelta
-    ) -> list[EngineState]:
-        registry = self.directory.registry
-        rankings = [
-            registry.rank(self.service.name, need.model) for need in needs
-        ]
-        positions = [
-            {target.name: position for position, target in enumerate(ranking)}
-            for ranking in rankings
-        ]
-        return [
-            EngineState(
-                target.name,
-                tuple(self._find_version(target, need.model) for need in needs),
-                target.slots,
-                target.running,
-                target.name not in self.pending_orders
-                and target.is_usable(now),
-                tuple(by_name[target.name] for by_name in positions),
-            )
-            for target in registry.find(self.service.name)
-        ]
-
-    def _find_version(self, target: RegisteredTarget, model: str) -> int:
-        """Return the version that an engine has, or was ordered to load."""
-        version = target.version_of(model)
-        desired = self.pending_orders.get(target.name)
-        if desired and desired.model == model:
-            return max(version, desired.version)
-        return version
-
-    def _find_need(self, model: str, now: timedelta) -> ModelNeed:
-        version = self.directory.versions[model]
-        observed = self.observed_versions.get(model)
-        if observed is None or observed.version != version:
-            observed = ObservedVersion(version, now)
-            self.observed_versions[model] = observed
-        ownerships = self.ownership.list_ownerships()
-        return ModelNeed(
-            model,
-            version,
-            find_allowed_staleness(ownerships, model),
-            now - observed.observed_at,
-            count_expected_items(ownerships, model),
-        )
-
     async def _run_order(
         self,
         target: RegisteredTarget,
@@ -275,7 +185,7 @@
             target.back_off(self.clock.elapsed(), RETRY_BACKOFF)
             await curio.sleep(RETRY_BACKOFF.total_seconds())
         finally:
-            self.pending_orders.pop(target.name, None)
+            self.planner.record_end(target.name)
 
     def _allows_mixed_versions(self) -> bool:
         """Return whether one text may come from several versions."""
@@ -335,9 +245,11 @@
                     self.sender,
                     self.committer.store,
                 ),
-                service,
+                LoadPlanner(
+                    self.clock, self.directory, self.ownership, service
+                ),
                 self.order_lease,
             )
             self.managers[service.name] = manager
-        manager.service = service
+        manager.planner.service = service
         return manager
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -156,7 +156,7 @@
         if self.fail:
             self.fail -= 1
             await exchange.respond(
-                500, headers=self.make_receipt_headers(request_id)
+                500, headers=self.make_label_headers(request_id)
             )
             return
         self.priorities.append(exchange.head.header('request-priority'))
@@ -166,7 +166,7 @@
         await exchange.start(
             200,
             (
-                *self.make_receipt_headers(request_id),
+                *self.make_label_headers(request_id),
                 *encode_headers({'weight-versions': str(self.version)}),
             ),
         )
@@ -199,7 +199,7 @@
         await exchange.sock.recv(1)
         raise ConnectionAbortedError('the host disconnected')
 
-    def make_receipt_headers(self, request_id):
+    def make_label_headers(self, request_id):
         if self.wrong_ids:
             self.wrong_ids -= 1
             request_id = 'another'
@@ -263,7 +263,7 @@
             self.fail -= 1
             status = 500
         await exchange.respond(
-            status, b'done', self.make_receipt_headers(request_id)
+            status, b'done', self.make_label_headers(request_id)
         )
 
     async def work(self, exchange):
--- a/packages/rollouts/tests/test_path.py
+++ b/packages/rollouts/tests/test_path.py
@@ -18,7 +18,7 @@
         assert item['score'].endswith('.stamp')
 
 
-def test_live_request_returns_body_and_receipt_of_target():
+def test_live_request_returns_body_and_signature_of_target():
     async def main():
         async with open_site() as site:
             return await site.call(
--- a/packages/rollouts/tests/test_streams.py
+++ b/packages/rollouts/tests/test_streams.py
@@ -214,7 +214,7 @@
     assert runs == [('s1', 1)]
 
 
-def test_an_error_response_of_an_engine_is_forwarded_with_its_receipt():
+def test_an_error_response_of_an_engine_is_forwarded_with_its_signature():
     async def main():
         async with open_site() as site:
             host = await open_streams(site)
--- a/packages/wire/sequoia_wire/connections.py
+++ b/packages/wire/sequoia_wire/connections.py
@@ -2,7 +2,6 @@
 
 import re
 from datetime import timedelta
-from typing import Any
 
 import curio
 import h11
@@ -10,9 +9,9 @@
 from sequoia_policy.errors import Code, ServiceError
 
 from sequoia_wire.clocks import monotonic_time
+from sequoia_wire.http_events import read_event
 from sequoia_wire.messages import Address, ResponseHead
 
-READ_SIZE = 65536  # bytes
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d{1,6})')
 EXPIRY_MARGIN = timedelta(milliseconds=500)
 
@@ -47,7 +46,7 @@
                 protocol.
         """
         try:
-            return await self._read_event(timeout)
+            return await read_event(self.sock, self.state, timeout)
         except curio.TaskTimeout as error:
             raise ServiceError(
                 Code.TARGET_STALLED, str(self.address)
@@ -83,15 +82,6 @@
             return True
         return True
 
-    async def _read_event(self, timeout: timedelta) -> h11.Event:
-        event: Any = self.state.next_event()
-        while event is h11.NEED_DATA:
-            async with curio.timeout_after(timeout.total_seconds()):
-                received = await self.sock.recv(READ_SIZE)
-            self.state.receive_data(received)
-            event = self.state.next_event()
-        return event
-
 
 def parse_expiry(head: ResponseHead) -> timedelta | None:
     """Return when to stop reusing the connection, or None if unknown.
--- a/packages/wire/sequoia_wire/exchanges.py
+++ b/packages/wire/sequoia_wire/exchanges.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
 
 import curio
 import h11
@@ -11,9 +10,9 @@
 from sequoia_policy.verdicts import Verdict
 
 from sequoia_wire.clocks import monotonic_time
+from sequoia_wire.http_events import READ_SIZE, read_event
 from sequoia_wire.messages import Header, RequestHead, encode_headers
 
-READ_SIZE = 65536  # bytes
 MIN_BODY_RATE = 1000  # bytes per second, from the first read of a body
 VERDICT_HEADER = 'sequoia-verdict'
 CODE_HEADER = 'sequoia-code'
@@ -150,7 +149,7 @@
             ServiceError: If the peer stalls or violates the protocol.
         """
         try:
-            return await self._read_event(timeout)
+            return await read_event(self.sock, self.state, timeout)
         except curio.TaskTimeout as error:
             raise ServiceError(
                 Code.STALLED, 'the peer sent no data within the timeout'
@@ -220,15 +219,6 @@
                 'write timed out: the peer does not read'
             ) from error
 
-    async def _read_event(self, timeout: timedelta) -> h11.Event:
-        event: Any = self.state.next_event()
-        while event is h11.NEED_DATA:
-            async with curio.timeout_after(timeout.total_seconds()):
-                received = await self.sock.recv(READ_SIZE)
-            self.state.receive_data(received)
-            event = self.state.next_event()
-        return event
-
 
 def encode_error(error: ServiceError) -> tuple[Header, ...]:
     """Return the headers for an error's code, verdict and retry delay."""
