--- /dev/null
+++ b/packages/rollouts/tests/relays.py
@@ -0,0 +1,91 @@
+"""A TCP relay that resets connections at chosen points."""
+
+import socket
+import struct
+
+import curio
+from attrs import define, field
+from sequoia_wire.messages import Address
+
+CHUNK = 65536
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)  # SO_LINGER without a delay
+
+
+@define(eq=False)
+class Relay:
+    """Relays connections to one address.
+
+    Attributes:
+        cuts: For each of the next connections, the number of bytes of responses
+            after which both sides are reset; None for no limit.
+        refuse_requests: Number of further chunks of requests that are answered
+            by a reset instead of being relayed.
+        resets: Number of connections that were reset.
+    """
+
+    upstream: Address
+    cuts: list = field(factory=list)
+    refuse_requests: int = 0
+    resets: int = 0
+    listener: object = None
+    address: Address | None = None
+
+    def open(self):
+        self.listener = curio.network.tcp_server_socket('127.0.0.1', 0)
+        self.address = Address(*self.listener.getsockname())
+
+    async def run(self):
+        async with self.listener:
+            while True:
+                client, _ = await self.listener.accept()
+                await curio.spawn(self.relay, client, daemon=True)
+
+    async def relay(self, client):
+        server = await curio.open_connection(
+            self.upstream.host, self.upstream.port
+        )
+        limit = self.cuts.pop(0) if self.cuts else None
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self.relay_requests, client, server)
+                await group.spawn(self.relay_responses, server, client, limit)
+        finally:
+            for sock in (client, server):
+                await sock.close()
+
+    async def relay_requests(self, client, server):
+        while True:
+            chunk = await receive(client)
+            if not chunk:
+                return
+            if self.refuse_requests:
+                self.refuse_requests -= 1
+                self.reset(client, server)
+                return
+            await server.sendall(chunk)
+
+    async def relay_responses(self, server, client, limit):
+        relayed = 0
+        while limit is None or relayed < limit:
+            chunk = await receive(server)
+            if not chunk:
+                return
+            chunk = chunk if limit is None else chunk[: limit - relayed]
+            relayed += len(chunk)
+            await client.sendall(chunk)
+        self.reset(client, server)
+
+    def reset(self, *sockets):
+        """Let the following close reset the connections."""
+        self.resets += 1
+        for sock in sockets:
+            sock._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+
+
+async def receive(sock):
+    try:
+        return await sock.recv(CHUNK)
+    except OSError:
+        return b''
