Log the limits that targets name

Change: responses carry the limit in their labels, hosts keep it per process of a target, and log when it is named, lifted, and each response that names it (which the metrics count). Nothing decides by it yet.

--- a/packages/rollouts/sequoia_rollouts/dialects.py
+++ b/packages/rollouts/sequoia_rollouts/dialects.py
@@ -39,12 +39,15 @@
         not_run: Whether the target promises that the request did not run.
         version: Weight version that generated the first token; None if not
             stated.
+        max_rate: Requests per second that the target takes from all hosts
+            together; None if it names no limit.
     """
 
     request_id: str
     signature: str = ''
     not_run: bool = False
     version: int | None = None
+    max_rate: float | None = None
 
     @property
     def is_signed(self) -> bool:
--- a/packages/rollouts/sequoia_rollouts/generations.py
+++ b/packages/rollouts/sequoia_rollouts/generations.py
@@ -162,7 +162,7 @@
             resume_after=generation.last_event_id,
         )
         outgoing = self._make_request(generation.item)
-        head = await self.sender.start(call, outgoing, labels)
+        head = await self.sender.start(call, target, outgoing, labels)
         if head.status != STATUS_OK:
             await self._raise_for_status(call, head)
         version = self.sender.dialect.read_labels(head).version
--- a/packages/rollouts/sequoia_rollouts/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live_streams.py
@@ -131,7 +131,7 @@
             priority=min(attempts.route.priority, LOWEST_LIVE_PRIORITY),
         )
         outgoing = attempts.request.outgoing
-        head = await self.sender.start(call, outgoing, labels)
+        head = await self.sender.start(call, target, outgoing, labels)
         if head.status != OK:
             return await self._read_non_stream_response(
                 stream, target, call, head
--- a/packages/rollouts/sequoia_rollouts/rewards.py
+++ b/packages/rollouts/sequoia_rollouts/rewards.py
@@ -17,9 +17,13 @@
 
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.scorers import ScorerQueue
-from sequoia_rollouts.senders import LabelledResponse, OutgoingRequest, Sender
+from sequoia_rollouts.senders import (
+    MIN_UNSUCCESSFUL_STATUS,
+    LabelledResponse,
+    OutgoingRequest,
+    Sender,
+)
 
-MIN_UNSUCCESSFUL_STATUS = 300
 STATUS_SCORING_FAILED = 500
 RETRY_BACKOFF = timedelta(milliseconds=40)
 OBJECTIVES_PER_ATTEMPT = 2.5
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -6,8 +6,10 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.registries import RegisteredTarget
+from sequoia_policy.target_limits import TargetLimits
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.clients import Call, HttpClient, Timeouts, limit_call_time
+from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import (
     Header,
     RequestHead,
@@ -21,6 +23,7 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=200)
 PROGRESS_TIMEOUT = timedelta(seconds=30)  # without receiving a byte
 MISDIRECTED_STATUS = 421
+MIN_UNSUCCESSFUL_STATUS = 300
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b'connection',
@@ -35,6 +38,17 @@
     ),
 )
 
+log = Log('target')
+LIMIT_NAMED = log.event('limit named', 'target', 'per_second')
+LIMIT_LIFTED = log.event('limit lifted', 'target')
+LIMITED_RESPONSE = log.event(
+    'limited response',
+    'request_id',
+    'target',
+    'status',
+    kind=LogKind.SUCCESS,
+)
+
 
 @frozen
 class OutgoingRequest:
@@ -55,11 +69,16 @@
 
 @define
 class Sender:
-    """Sends requests to targets."""
+    """Sends requests to targets.
+
+    Attributes:
+        limits: Limits that targets named in their responses.
+    """
 
     clock: Clock
     dialect: TargetDialect
     client: HttpClient = field(factory=HttpClient)
+    limits: TargetLimits = field(factory=TargetLimits)
 
     def open(self, target: RegisteredTarget) -> Call:
         """Return a call to a target; it is an async context manager."""
@@ -90,16 +109,28 @@
         """
         labels = CallLabels(outgoing.id, target.name, time_left)
         async with self.open(target) as call, limit_call_time(call, timeout):
-            return await self._fetch(call, outgoing, labels)
+            head = await self.start(call, target, outgoing, labels)
+            body = await call.read_body()
+        return LabelledResponse(
+            Response(head, body),
+            self.dialect.read_labels(head),
+        )
 
     async def start(
         self,
         call: Call,
+        target: RegisteredTarget,
         outgoing: OutgoingRequest,
         labels: CallLabels,
     ) -> ResponseHead:
         """Send a request on an open call and return the response head.
 
+        Args:
+            call: A call to ``target``.
+            target: Its name is among the labels.
+            outgoing: The request.
+            labels: Labels to add to it.
+
         Raises:
             ServiceError: If the target refused the request, or if the response
                 belongs to another request.
@@ -116,8 +147,10 @@
             outgoing.head.target,
             (*kept, *added),
         )
+        sent_at = self.clock.elapsed()
         response = await call.send(head, outgoing.body)
         received = self.dialect.read_labels(response)
+        self._record_limit(target, response, received, sent_at)
         if received.request_id and received.request_id != outgoing.id:
             raise ServiceError(Code.WRONG_ANSWER, 'response to another request')
         if received.not_run:
@@ -131,18 +164,31 @@
             )
         return response
 
-    async def _fetch(
+    def _record_limit(
         self,
-        call: Call,
-        outgoing: OutgoingRequest,
-        labels: CallLabels,
-    ) -> LabelledResponse:
-        head = await self.start(call, outgoing, labels)
-        body = await call.read_body()
-        return LabelledResponse(
-            Response(head, body),
-            self.dialect.read_labels(head),
-        )
+        target: RegisteredTarget,
+        response: ResponseHead,
+        received: ResponseLabels,
+        sent_at: timedelta,
+    ) -> None:
+        """Record that a response named a limit of its target, or none."""
+        if response.status == MISDIRECTED_STATUS:
+            return  # another target responded
+        registration = target.registration
+        if received.max_rate is not None:
+            now = self.clock.elapsed()
+            if self.limits.record(registration, received.max_rate, now):
+                LIMIT_NAMED.write(
+                    target=target.name, per_second=received.max_rate
+                )
+            LIMITED_RESPONSE.write(
+                request_id=received.request_id,
+                target=target.name,
+                status=response.status,
+            )
+        elif response.status < MIN_UNSUCCESSFUL_STATUS:
+            if self.limits.lift(registration, sent_at):
+                LIMIT_LIFTED.write(target=target.name)
 
 
 def strip_hop_by_hop_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -1,5 +1,7 @@
 """Stand-ins for model engines and plain servers of the platform."""
 
+import time
+
 import curio
 import orjson
 from attrs import define, field
@@ -39,6 +41,9 @@
         refuse: Number of requests to refuse as not run.
         unanswered_orders: Number of orders to execute without a response.
         wrong_ids: Number of responses to label with another request id.
+        limit: Requests per second that responses name as the limit; empty for
+            none.
+        received_at: When each request for this server arrived.
         runs: Id and first event of each request that ran.
         priorities: Values of the priority header of the requests that ran; None
             where it is missing.
@@ -58,6 +63,8 @@
     refuse: int = 0
     unanswered_orders: int = 0
     wrong_ids: int = 0
+    limit: str = ''
+    received_at: list = field(factory=list)
     runs: list = field(factory=list)
     priorities: list = field(factory=list)
     requests: list = field(factory=list)
@@ -100,6 +107,7 @@
         elif path == '/v1/order':
             await self.handle_order(exchange, orjson.loads(body))
         else:
+            self.received_at.append(time.monotonic())
             self.requests.append(
                 ReceivedRequest(
                     exchange.head.header('attempt-id'),
@@ -203,9 +211,13 @@
         if self.wrong_ids:
             self.wrong_ids -= 1
             request_id = 'another'
-        return encode_headers(
-            {'attempt-id': request_id, 'server-stamp': f'{self.name}.stamp'},
-        )
+        labels = {
+            'attempt-id': request_id,
+            'server-stamp': f'{self.name}.stamp',
+        }
+        if self.limit:
+            labels['server-limit'] = self.limit
+        return encode_headers(labels)
 
 
 @define(eq=False)
