Let the stand-in of the store lose no change and its clock run

Cause: test_submission_cut_off_at_any_transaction_is_accepted_by_another_host[4] failed in 2 of 17 runs beside other tests: a host did not receive a configuration in 6 s. The stand-in answered a feed whose wait had ended without a last look, but with its newest version: a row written in the last 5 ms was never sent. Its clock also stood still, unlike that of the store. Change: the stand-in looks once more; its clock advances. That the two failures come from this is concluded from the code and their trace, not replayed.

--- a/packages/rollouts/tests/store_standin.py
+++ b/packages/rollouts/tests/store_standin.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's store, with faults that tests inject."""
 
 import base64
+import time
 from urllib.parse import parse_qs
 
 import curio
@@ -29,7 +30,8 @@
         transactions_until_down: Number of further transactions on the tables
             ``cut_off_tables`` before these are refused; None for no limit.
         refused: Number of transactions over the limits.
-        now_ms: The reading of the store's clock.
+        now_ms: What the store's clock showed when the store started.
+        started_at: When the store started.
         calls: Number of calls by path.
     """
 
@@ -43,6 +45,7 @@
     cut_off_tables: frozenset = frozenset()
     refused: int = 0
     now_ms: int = 50000
+    started_at: float = field(factory=time.monotonic)
     calls: dict = field(factory=dict)
     server: HttpServer = field(init=False)
 
@@ -115,9 +118,15 @@
             status, fields = await self.follow(query)
         await exchange.respond(
             status,
-            orjson.dumps({**fields, 'ver': self.version, 'nowMs': self.now_ms}),
+            orjson.dumps(
+                {**fields, 'ver': self.version, 'nowMs': self.read_clock()}
+            ),
         )
 
+    def read_clock(self):
+        elapsed = time.monotonic() - self.started_at
+        return self.now_ms + round(elapsed * 1000)
+
     def transact_within_limits(self, body):
         fields = orjson.loads(body)
         entries = [
@@ -179,7 +188,7 @@
         if after < self.history_start:
             return 410, {}
         waited = 0.0
-        while waited < int(query['waitMs']) / 1000 and not self.down:
+        while not self.down:
             found = {
                 name: self.encode_change(version, name, value)
                 for version, name, value in self.history
@@ -187,6 +196,8 @@
             }
             if found:
                 return 200, {'rows': list(found.values())}
+            if waited >= int(query['waitMs']) / 1000:
+                break
             await curio.sleep(FEED_POLL_INTERVAL)
             waited += FEED_POLL_INTERVAL
             if after < self.history_start:
