Keep the limits that targets name, all hosts together

Cause: the limit was not read, and a host that keeps it alone is not enough: each sees a part of the requests. Change: a request to a limited target needs a permit, taken from one row per target in the store by a conditional write; without the store each host uses an equal part of half of the limit. All requests pass one place, Sender.open. Live requests find what rollouts leave. The first host that sees the end of a limit tells the others through the row. Sweepers of single tables share their loop.

--- a/packages/policy/sequoia_policy/rates.py
+++ b/packages/policy/sequoia_policy/rates.py
@@ -9,6 +9,7 @@
 FEED_READS_PER_SECOND = 1200  # maximum of all hosts, whatever the store allows
 FEED_SHARE = 0.6  # of the store's reads; the rest is for results and listings
 MIN_HEARTBEAT_INTERVAL = timedelta(milliseconds=400)
+PERMIT_SHARE = 0.25  # of the store's writes, for limits that targets name
 HEARTBEAT_SHARE = 0.5  # of the writes of the partition that holds the leases
 # Assumed until the number of hosts is known, so that a fleet that starts at
 # once does not exceed the rates.
@@ -25,6 +26,7 @@
 
     reads: float = 2000
     partition_writes: float = 150
+    writes: float = 800
 
     def find_feed_interval(self, hosts: int) -> timedelta:
         """Return the minimum time between two reads of a table's changes.
@@ -36,6 +38,14 @@
         limit = min(FEED_READS_PER_SECOND, self.reads * FEED_SHARE)
         return max(MIN_FEED_INTERVAL, timedelta(seconds=reads / limit))
 
+    def find_permit_rate(self, hosts: int) -> float:
+        """Return the permit transactions per second of one host.
+
+        Args:
+            hosts: Number of hosts; 0 if it is unknown.
+        """
+        return self.writes * PERMIT_SHARE / (hosts or UNKNOWN_FLEET_SIZE)
+
     def find_heartbeat_interval(self, leases: int) -> timedelta:
         """Return the interval between two heartbeats of a lease holder."""
         limit = self.partition_writes * HEARTBEAT_SHARE
--- a/packages/policy/sequoia_policy/registries.py
+++ b/packages/policy/sequoia_policy/registries.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from sequoia_policy.choices import rank_names
+from sequoia_policy.permits import Urgency
 
 MIN_BACKOFF = timedelta(milliseconds=250)
 MAX_BACKOFF = timedelta(seconds=2)
@@ -69,6 +70,7 @@
         newest_versions: Newest versions in responses or reports, by model.
         loading_until: Time until which the engine starts no new run, by
             model.
+        no_permit_until: Time until which the target's limit leaves no permit.
     """
 
     registration: Registration
@@ -81,6 +83,7 @@
     expires_at: timedelta | None = None
     newest_versions: dict[str, int] = field(factory=dict)
     loading_until: dict[str, timedelta] = field(factory=dict)
+    no_permit_until: dict[Urgency, timedelta] = field(factory=dict)
 
     @property
     def name(self) -> str:
@@ -96,6 +99,19 @@
         """Return whether new work may be sent to the target."""
         return not self.registration.leaving and now >= self.backoff_until
 
+    def may_have_permit(self, urgency: Urgency, now: timedelta) -> bool:
+        """Return whether a request may find a permit, or needs none."""
+        return now >= self.no_permit_until.get(urgency, now)
+
+    def record_no_permit(self, urgency: Urgency, until: timedelta) -> None:
+        """Record that no permit is free until a time."""
+        self.no_permit_until[urgency] = until
+
+    def find_wait(self, urgency: Urgency, now: timedelta) -> timedelta:
+        """Return the time until the target may take a new request."""
+        free_at = self.no_permit_until.get(urgency, now)
+        return max(self.backoff_until, free_at) - now
+
     def version_of(self, model: str) -> int:
         """Return the newest observed version of a model, 0 if none."""
         registered = self.registration.version_of(model) or 0
--- a/packages/rollouts/sequoia_rollouts/abandonments.py
+++ b/packages/rollouts/sequoia_rollouts/abandonments.py
@@ -2,9 +2,7 @@
 
 from datetime import timedelta
 
-import curio
 from attrs import define
-from sequoia_policy.errors import ServiceError
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.acceptance_markers import (
@@ -13,25 +11,19 @@
     read_marker,
 )
 from sequoia_rollouts.batches import split_writes
-from sequoia_rollouts.ownership import OwnershipTable, is_first
+from sequoia_rollouts.ownership import OwnershipTable
+from sequoia_rollouts.partition_sweepers import PartitionSweeper
 from sequoia_rollouts.stores import (
     ABSENT,
-    ConflictError,
     Guard,
     Row,
-    RowRange,
     RowWrite,
     Store,
     Transaction,
     read_all,
 )
-from sequoia_rollouts.tables import (
-    PARTITIONS,
-    specification_range,
-    submission_key,
-)
+from sequoia_rollouts.tables import specification_range, submission_key
 
-SWEEP_INTERVAL = timedelta(seconds=60)
 MAX_ACCEPTANCE_AGE = timedelta(seconds=120)  # callers retry within seconds
 
 log = Log('sweep')
@@ -42,45 +34,22 @@
 
 
 @define
-class AbandonmentSweeper:
-    """Removes the rows of acceptances that no host has completed.
-
-    Each partition is swept by the first coordinator in its rendezvous order.
-    """
+class AbandonmentRemover:
+    """Removes the rows of an acceptance that no host has completed."""
 
     store: Store
-    ownership: OwnershipTable
-
-    async def run(self) -> None:
-        """Sweep until cancelled."""
-        while True:
-            await curio.sleep(SWEEP_INTERVAL.total_seconds())
-            await self.sweep()
-
-    async def sweep(self) -> None:
-        """Remove the rows of all abandoned acceptances."""
-        for partition in PARTITIONS:
-            if is_first(self.ownership, partition):
-                await self._sweep_partition(partition)
 
-    async def _sweep_partition(self, partition: str) -> None:
-        try:
-            page = await read_all(self.store, RowRange(ACCEPTANCES, partition))
-        except ServiceError as failure:
-            ACCEPTANCE_NOT_REMOVED.write(key=partition, detail=failure.detail)
-            return
-        for row in page.rows:
-            await self._try_remove(row, page.now)
+    async def remove_outdated(self, marker: Row, now: timedelta) -> None:
+        """Remove the rows that an old marker names, and the marker.
 
-    async def _try_remove(self, marker: Row, now: timedelta) -> None:
-        try:
-            stored = read_marker(marker.body or b'')
-            if now - stored.started > MAX_ACCEPTANCE_AGE:
-                await self._remove(marker)
-        except (ConflictError, ServiceError) as failure:
-            ACCEPTANCE_NOT_REMOVED.write(
-                key=marker.key.key, detail=str(failure)
-            )
+        Raises:
+            ConflictError: If a host has started the acceptance again.
+            ServiceError: If the marker cannot be decoded, or the store does
+                not respond.
+        """
+        stored = read_marker(marker.body or b'')
+        if now - stored.started > MAX_ACCEPTANCE_AGE:
+            await self._remove(marker)
 
     async def _remove(self, marker: Row) -> None:
         """Remove the marker, then the rows that it names.
@@ -104,3 +73,16 @@
         for batch in split_writes(removals):
             await self.store.commit(Transaction(batch, guards))
         ACCEPTANCE_REMOVED.write(submission=submission_id, rows=len(removals))
+
+
+def make_abandonment_sweeper(
+    store: Store, ownership: OwnershipTable
+) -> PartitionSweeper:
+    """Return the sweeper of abandoned acceptances."""
+    return PartitionSweeper(
+        store,
+        ownership,
+        ACCEPTANCES,
+        AbandonmentRemover(store).remove_outdated,
+        ACCEPTANCE_NOT_REMOVED,
+    )
--- a/packages/rollouts/sequoia_rollouts/generations.py
+++ b/packages/rollouts/sequoia_rollouts/generations.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.submissions import Item, Submission
 from sequoia_policy.verdicts import Verdict
@@ -143,9 +144,8 @@
             ServiceError: If the run was interrupted; received events are kept.
         """
         generation.started = generation.started or self.clock.elapsed()
-        call = self.sender.open(target)
-        call.timeouts = Timeouts(CONNECT_TIMEOUT, FIRST_EVENT_TIMEOUT)
-        async with call:
+        async with self.sender.open(target, Urgency.ROLLOUT) as call:
+            call.timeouts = Timeouts(CONNECT_TIMEOUT, FIRST_EVENT_TIMEOUT)
             async with limit_call_time(call, START_TIMEOUT):
                 await self._start(call, generation, target)
             await self._read_stream(call, generation, target)
--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/heartbeats.py
@@ -75,8 +75,11 @@
 
     def find_feed_interval(self) -> timedelta:
         """Return the minimum time between reads of a table's changes."""
-        hosts = count_hosts(self.leases.values())
-        return self.rates.find_feed_interval(hosts)
+        return self.rates.find_feed_interval(self.count_hosts())
+
+    def count_hosts(self) -> int:
+        """Return the number of hosts of all failure domains, 0 if unknown."""
+        return count_hosts(self.leases.values())
 
     def holds_lease(self) -> bool:
         """Return whether no other host can regard this one as dead."""
--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -29,6 +29,7 @@
     RunEndedError,
 )
 from sequoia_rollouts.ownership import OwnershipTable
+from sequoia_rollouts.permits import PermitTaker
 from sequoia_rollouts.placers import EngineRequirements, Placer
 from sequoia_rollouts.recorders import Recorder
 from sequoia_rollouts.rewards import RewardCaller, RewardFailedError
@@ -112,7 +113,8 @@
         ownership: Knows this host and the hosts that run submissions.
         rng: Chooses targets, and the services of reward calls.
     """
-    sender = Sender(clock, dialect)
+    permits = PermitTaker(ownership.store, clock, ownership.heartbeats, rng)
+    sender = Sender(clock, dialect, permits)
     placer = Placer(
         clock,
         directory,
@@ -299,7 +301,7 @@
             target.back_off(now, REFUSAL_BACKOFF)
         elif failure.code is Code.CONNECT_FAILED:
             target.record_unreachable(now)
-        else:
+        elif failure.code is not Code.TARGET_LIMITED:
             target.record_failure(now)
         if failure.verdict is Verdict.NOT_RUN:
             await curio.sleep(REQUEUE_DELAY.total_seconds())
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.routing import Route
 from sequoia_wire.logs import Log, LogKind
@@ -171,7 +172,7 @@
                 target,
                 attempts.request.outgoing,
                 time_left,
-                time_left,
+                Urgency.LIVE,
             )
         finally:
             target.running -= 1
--- a/packages/rollouts/sequoia_rollouts/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live_streams.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.clients import Call, Timeouts, limit_call_time
@@ -106,7 +107,7 @@
         time_left = stream.attempts.deadline - self.clock.elapsed()
         target.running += 1
         try:
-            async with self.sender.open(target) as call:
+            async with self.sender.open(target, Urgency.LIVE) as call:
                 async with limit_call_time(call, time_left):
                     return await self._run_call(stream, target, call)
         finally:
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import (
     RegisteredTarget,
     choose_of_two,
@@ -19,6 +20,8 @@
 from sequoia_rollouts.live_attempts import RETRY_AFTER, LiveAttempts
 
 REFUSAL_BACKOFF = timedelta(milliseconds=15)
+# The target works, but takes no more requests now.
+BUSY_CODES = frozenset((Code.TARGET_REFUSED, Code.TARGET_LIMITED))
 
 log = Log('live')
 ATTEMPT_FAILED = log.event(
@@ -55,9 +58,9 @@
             ServiceError: If the service has no reachable target.
         """
         now = self.clock.elapsed()
-        usable = self.directory.registry.usable(attempts.service, now)
+        usable = self._find_usable(attempts.service, now)
         if not usable:
-            usable = self._find_reachable(attempts.service)
+            usable = self._find_reachable(attempts.service, now)
         if not usable:
             raise self._make_refusal(attempts, now)
         untried = [
@@ -80,7 +83,7 @@
     ) -> RegisteredTarget | None:
         """Return an untried target for a hedge, or None if there is none."""
         now = self.clock.elapsed()
-        usable = self.directory.registry.usable(attempts.service, now)
+        usable = self._find_usable(attempts.service, now)
         used = {first.name, *attempts.tried}
         others = [target for target in usable if target.name not in used]
         if not others:
@@ -118,13 +121,27 @@
             attempts.tried.clear()
             await curio.sleep(REFUSAL_BACKOFF.total_seconds())
 
-    def _find_reachable(self, service: str) -> list[RegisteredTarget]:
+    def _find_usable(
+        self, service: str, now: timedelta
+    ) -> list[RegisteredTarget]:
+        usable = self.directory.registry.usable(service, now)
+        return [
+            target
+            for target in usable
+            if target.may_have_permit(Urgency.LIVE, now)
+        ]
+
+    def _find_reachable(
+        self, service: str, now: timedelta
+    ) -> list[RegisteredTarget]:
         """Return the targets that can be reached, also those in backoff."""
         registered = self.directory.registry.find(service)
         return [
             target
             for target in registered
-            if not target.registration.leaving and not target.unreachable
+            if not target.registration.leaving
+            and not target.unreachable
+            and target.may_have_permit(Urgency.LIVE, now)
         ]
 
     def _make_refusal(
@@ -132,16 +149,16 @@
     ) -> ServiceError:
         """Return the error for a service without a reachable target.
 
-        The caller may retry when the first backoff ends.
+        The caller may retry when the first target takes a request.
         """
         registered = self.directory.registry.find(attempts.service)
-        backoffs = [target.backoff_until - now for target in registered]
-        min_backoff = min(backoffs, default=RETRY_AFTER)
+        waits = [target.find_wait(Urgency.LIVE, now) for target in registered]
+        min_wait = min(waits, default=RETRY_AFTER)
         return ServiceError(
             Code.NO_TARGET,
             attempts.service,
             verdict=attempts.verdict,
-            retry_after=max(RETRY_AFTER, min_backoff),
+            retry_after=max(RETRY_AFTER, min_wait),
         )
 
     def _update_target(
@@ -152,5 +169,5 @@
             self.directory.registry.remove(target.name, now, timedelta())
         elif failure.code is Code.CONNECT_FAILED:
             target.record_unreachable(now)
-        elif failure.code is not Code.TARGET_REFUSED:
+        elif failure.code not in BUSY_CODES:
             target.record_failure(now)
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/partition_sweepers.py
@@ -0,0 +1,67 @@
+"""Removes outdated rows of a table, one partition at a time."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import curio
+from attrs import define
+from sequoia_policy.errors import ServiceError
+from sequoia_wire.logs import LogEvent
+
+from sequoia_rollouts.ownership import OwnershipTable, is_first
+from sequoia_rollouts.stores import (
+    ConflictError,
+    Row,
+    RowRange,
+    Store,
+    read_all,
+)
+from sequoia_rollouts.tables import PARTITIONS
+
+SWEEP_INTERVAL = timedelta(seconds=60)
+
+
+@define
+class PartitionSweeper:
+    """Removes the outdated rows of one table.
+
+    Each partition is swept by the first coordinator in its rendezvous order.
+
+    Attributes:
+        remove_outdated: Removes a row if it is outdated at a time of the
+            store's clock.
+        not_removed: Logged with the key and the reason if that failed.
+    """
+
+    store: Store
+    ownership: OwnershipTable
+    table: str
+    remove_outdated: Callable[[Row, timedelta], Awaitable[None]]
+    not_removed: LogEvent
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await curio.sleep(SWEEP_INTERVAL.total_seconds())
+            await self.sweep()
+
+    async def sweep(self) -> None:
+        """Remove all outdated rows of the table."""
+        for partition in PARTITIONS:
+            if is_first(self.ownership, partition):
+                await self._sweep_partition(partition)
+
+    async def _sweep_partition(self, partition: str) -> None:
+        try:
+            page = await read_all(self.store, RowRange(self.table, partition))
+        except ServiceError as failure:
+            self.not_removed.write(key=partition, detail=failure.detail)
+            return
+        for row in page.rows:
+            await self._try_remove(row, page.now)
+
+    async def _try_remove(self, row: Row, now: timedelta) -> None:
+        try:
+            await self.remove_outdated(row, now)
+        except (ConflictError, ServiceError) as failure:
+            self.not_removed.write(key=row.key.key, detail=str(failure))
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/permits.py
@@ -0,0 +1,296 @@
+"""Takes permits for requests to targets that have named a limit."""
+
+import random
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import curio
+from attrs import define, field, frozen
+from sequoia_policy.budgets import RateLimit
+from sequoia_policy.clocks import Clock
+from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.permits import (
+    NO_WAIT,
+    PermitState,
+    UnsharedPermits,
+    Urgency,
+)
+from sequoia_policy.rates import UNKNOWN_FLEET_SIZE
+from sequoia_policy.registries import RegisteredTarget, Registration
+from sequoia_policy.target_limits import TargetLimit, TargetLimits
+from sequoia_policy.verdicts import Verdict
+from sequoia_wire.codecs import decode, encode
+from sequoia_wire.logs import Log, LogKind
+
+from sequoia_rollouts.heartbeats import HeartbeatService
+from sequoia_rollouts.stores import (
+    ABSENT,
+    ConflictError,
+    Guard,
+    Row,
+    RowKey,
+    RowWrite,
+    Store,
+    Transaction,
+)
+from sequoia_rollouts.tables import find_partition
+
+TABLE = 'permits'
+STORE_TIMEOUT = timedelta(milliseconds=150)
+STORE_BACKOFF = timedelta(seconds=1)
+MAX_CONFLICTS = 4  # of one attempt to take permits
+CONFLICT_PAUSE = timedelta(milliseconds=40)
+BUDGET_PAUSE = timedelta(milliseconds=200)
+BUDGET_BURST = 5.0  # transactions
+
+log = Log('target')
+LIMIT_NAMED = log.event('limit named', 'target', 'per_second')
+LIMIT_LIFTED = log.event('limit lifted', 'target', 'found_by')
+NO_PERMIT = log.event(
+    'no permit', 'target', 'urgency', 'wait', kind=LogKind.FAILURE
+)
+PERMITS_NOT_SHARED = log.event(
+    'permits not shared', 'target', 'detail', kind=LogKind.FAILURE
+)
+
+
+@frozen
+class StoredPermits:
+    """The stored state of a target's permits, as this host last knew it."""
+
+    version: int = ABSENT
+    state: PermitState | None = None
+
+
+@define(eq=False)
+class PermitQueue:
+    """The requests of this host that wait for permits of one target.
+
+    One of them at a time calls the store, and takes permits for all.
+
+    Attributes:
+        waiting: Number of waiting requests.
+        granted: Number of permits taken and not used.
+    """
+
+    lock: curio.Lock = field(factory=curio.Lock)
+    waiting: Counter[Urgency] = field(factory=Counter)
+    granted: Counter[Urgency] = field(factory=Counter)
+
+    @asynccontextmanager
+    async def join(self, urgency: Urgency) -> AsyncIterator[None]:
+        """Wait for the turn of a request."""
+        self.waiting[urgency] += 1
+        try:
+            async with self.lock:
+                yield
+        finally:
+            self.waiting[urgency] -= 1
+            if not self.waiting[urgency]:
+                self.granted[urgency] = 0
+
+    def use_granted(self, urgency: Urgency) -> bool:
+        """Use a permit that was taken for the waiting requests, if any."""
+        if not self.granted[urgency]:
+            return False
+        self.granted[urgency] -= 1
+        return True
+
+
+@define(eq=False)
+class PermitTaker:
+    """Lets requests to limited targets pass at the rate that these name.
+
+    While the store does not respond, each host uses an equal part of a limit.
+
+    Attributes:
+        limits: Limits named in responses to this host.
+        stored: Stored states by key of their row.
+        queues: Waiting requests by name of the target.
+        store_retry_at: When to call the store again after it failed.
+        budget: Limits the transactions of this host.
+    """
+
+    store: Store
+    clock: Clock
+    heartbeats: HeartbeatService
+    rng: random.Random
+    limits: TargetLimits = field(factory=TargetLimits)
+    stored: dict[RowKey, StoredPermits] = field(factory=dict)
+    queues: dict[str, PermitQueue] = field(factory=dict)
+    store_retry_at: timedelta = timedelta()
+    budget: RateLimit = field(factory=lambda: RateLimit(1, BUDGET_BURST))
+    unshared: UnsharedPermits = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the state for the time without the store."""
+        self.unshared = UnsharedPermits(self.rng)
+
+    async def acquire(self, target: RegisteredTarget, urgency: Urgency) -> None:
+        """Take a permit for one request if the target has named a limit.
+
+        Raises:
+            ServiceError: With code TARGET_LIMITED if none is free.
+        """
+        limit = self.limits.find(target.registration)
+        if limit is None:
+            return
+        wait = await self._take(target, limit, urgency)
+        if wait <= NO_WAIT:
+            return
+        target.record_no_permit(urgency, self.clock.elapsed() + wait)
+        NO_PERMIT.write(
+            target=target.name,
+            urgency=urgency.value,
+            wait=wait.total_seconds(),
+        )
+        raise ServiceError(
+            Code.TARGET_LIMITED,
+            f'no permit for {target.name}',
+            verdict=Verdict.NOT_RUN,
+            retry_after=wait,
+        )
+
+    def record_limit(
+        self, registration: Registration, per_second: float
+    ) -> None:
+        """Record that a response named a limit."""
+        if self.limits.record(registration, per_second, self.clock.elapsed()):
+            LIMIT_NAMED.write(target=registration.name, per_second=per_second)
+
+    async def record_no_limit(
+        self, registration: Registration, sent_at: timedelta
+    ) -> None:
+        """Record that a response to a request sent at a time named none.
+
+        The other hosts find the end of the limit in the stored state.
+        """
+        if self.limits.lift(registration, sent_at):
+            LIMIT_LIFTED.write(target=registration.name, found_by='response')
+            await curio.spawn(self._store_end, registration, daemon=True)
+
+    async def _take(
+        self,
+        target: RegisteredTarget,
+        limit: TargetLimit,
+        urgency: Urgency,
+    ) -> timedelta:
+        """Take a permit, or return the time until one may be free."""
+        queue = self.queues.setdefault(target.name, PermitQueue())
+        async with queue.join(urgency):
+            if queue.use_granted(urgency):
+                return NO_WAIT
+            if self.clock.elapsed() < self.store_retry_at:
+                return self._take_unshared(target.name, limit)
+            try:
+                return await self._take_shared(target, limit, urgency, queue)
+            except ServiceError as failure:
+                self._record_store_failure(target.name, failure.detail)
+            except curio.TaskTimeout:
+                self._record_store_failure(target.name, 'timeout')
+            return self._take_unshared(target.name, limit)
+
+    async def _take_shared(
+        self,
+        target: RegisteredTarget,
+        limit: TargetLimit,
+        urgency: Urgency,
+        queue: PermitQueue,
+    ) -> timedelta:
+        key = make_key(target.registration)
+        for _ in range(MAX_CONFLICTS):
+            now = self.heartbeats.store_now()
+            state = self._view(key, limit)
+            if not state.is_limited:
+                self._apply_end(target.registration)
+                return NO_WAIT
+            free = state.count_free(urgency, now)
+            if not free:
+                return state.find_wait(urgency, now)
+            if not self._may_call_store():
+                return BUDGET_PAUSE
+            count = min(free, queue.waiting[urgency])
+            if await self._try_store(key, state.take(count, now)):
+                queue.granted[urgency] = count - 1
+                return NO_WAIT
+        return CONFLICT_PAUSE * (1 + self.rng.random())
+
+    def _view(self, key: RowKey, limit: TargetLimit) -> PermitState:
+        """Return the state that follows from the responses and the store."""
+        offset = self.heartbeats.store_now() - self.clock.elapsed()
+        own = PermitState(limit.per_second, limit.named_at + offset)
+        return own.merge(self.stored.get(key, StoredPermits()).state)
+
+    async def _try_store(self, key: RowKey, state: PermitState) -> bool:
+        """Store a state; return False if another host has changed it.
+
+        Raises:
+            ServiceError: If the store does not accept the write.
+            curio.TaskTimeout: If it does not respond.
+        """
+        known = self.stored.get(key, StoredPermits())
+        transaction = Transaction(
+            (RowWrite(key, encode(state)),), (Guard(key, known.version),)
+        )
+        try:
+            async with curio.timeout_after(STORE_TIMEOUT.total_seconds()):
+                version = await self.store.commit(transaction)
+        except ConflictError as conflict:
+            self.stored[key] = read_stored(conflict.find(key))
+            return False
+        self.stored[key] = StoredPermits(version, state)
+        self.unshared.next_at.clear()
+        return True
+
+    async def _store_end(self, registration: Registration) -> None:
+        """Store that a limit has ended, unless it was named again."""
+        key = make_key(registration)
+        now = self.heartbeats.store_now()
+        ended = PermitState(0, now)
+        for _ in range(MAX_CONFLICTS):
+            known = self.stored.get(key, StoredPermits())
+            if known.state and known.state.named_at >= now:
+                return
+            try:
+                if await self._try_store(key, ended.merge(known.state)):
+                    return
+            except (ServiceError, curio.TaskTimeout) as failure:
+                self._record_store_failure(registration.name, str(failure))
+                return
+
+    def _take_unshared(self, name: str, limit: TargetLimit) -> timedelta:
+        hosts = self.heartbeats.count_hosts() or UNKNOWN_FLEET_SIZE
+        now = self.clock.elapsed()
+        return self.unshared.take(name, limit.per_second, hosts, now)
+
+    def _may_call_store(self) -> bool:
+        hosts = self.heartbeats.count_hosts()
+        self.budget.per_second = self.heartbeats.rates.find_permit_rate(hosts)
+        return self.budget.try_acquire(self.clock.elapsed())
+
+    def _apply_end(self, registration: Registration) -> None:
+        self.limits.lift(registration, self.clock.elapsed())
+        LIMIT_LIFTED.write(target=registration.name, found_by='store')
+
+    def _record_store_failure(self, name: str, detail: str) -> None:
+        self.store_retry_at = self.clock.elapsed() + STORE_BACKOFF
+        PERMITS_NOT_SHARED.write(target=name, detail=detail)
+
+
+def make_key(registration: Registration) -> RowKey:
+    """Return the key of the permits of one process of a target."""
+    name = f'{registration.name}/{registration.started_at}'
+    return RowKey(TABLE, find_partition(name), name)
+
+
+def read_stored(row: Row | None) -> StoredPermits:
+    """Decode a stored state; a row that cannot be decoded is replaced."""
+    if row is None or row.body is None:
+        return StoredPermits()
+    try:
+        return StoredPermits(row.version, decode(row.body, PermitState))
+    except ServiceError as failure:
+        PERMITS_NOT_SHARED.write(target=row.key.key, detail=failure.detail)
+        return StoredPermits(row.version)
--- a/packages/rollouts/sequoia_rollouts/placers.py
+++ b/packages/rollouts/sequoia_rollouts/placers.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
+from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget, median_seconds
 from sequoia_policy.subsets import (
     find_free,
@@ -82,6 +83,7 @@
             lambda target: (
                 target.running < target.slots
                 and target.is_usable(now)
+                and target.may_have_permit(Urgency.ROLLOUT, now)
                 and requirements.is_met_by(target, now)
             ),
         )
@@ -99,6 +101,7 @@
             lambda target: (
                 target.running < limit_reward_calls(target.slots, hosts)
                 and target.is_usable(now)
+                and target.may_have_permit(Urgency.ROLLOUT, now)
             ),
         )
         return choose_fastest(free, now)
--- a/packages/rollouts/sequoia_rollouts/rewards.py
+++ b/packages/rollouts/sequoia_rollouts/rewards.py
@@ -8,6 +8,7 @@
 from attrs import define
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.routing import Route
 from sequoia_policy.submissions import Item, RewardCall, WorkQueue
@@ -117,7 +118,7 @@
             target,
             OutgoingRequest(call.id, head, call.body),
             timeout,
-            timeout,
+            Urgency.ROLLOUT,
         )
         now = self.clock.elapsed()
         target.record_duration((now - started_at).total_seconds(), now)
@@ -154,6 +155,8 @@
             self.directory.registry.remove(target.name, now, timedelta())
         elif failure.code is Code.CONNECT_FAILED:
             target.record_unreachable(now)
+        elif failure.code is Code.TARGET_LIMITED:
+            return
         elif failure.verdict is Verdict.NOT_RUN:
             target.back_off(now, RETRY_BACKOFF)
         else:
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -1,12 +1,15 @@
 """Sends one request to one target and reads its response."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from datetime import timedelta
+from typing import Protocol
 
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_policy.registries import RegisteredTarget
-from sequoia_policy.target_limits import TargetLimits
+from sequoia_policy.permits import Urgency
+from sequoia_policy.registries import RegisteredTarget, Registration
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.clients import Call, HttpClient, Timeouts, limit_call_time
 from sequoia_wire.logs import Log, LogKind
@@ -39,8 +42,6 @@
 )
 
 log = Log('target')
-LIMIT_NAMED = log.event('limit named', 'target', 'per_second')
-LIMIT_LIFTED = log.event('limit lifted', 'target')
 LIMITED_RESPONSE = log.event(
     'limited response',
     'request_id',
@@ -67,50 +68,79 @@
     labels: ResponseLabels
 
 
+class Permits(Protocol):
+    """Lets requests to targets pass at the rates that these name."""
+
+    async def acquire(self, target: RegisteredTarget, urgency: Urgency) -> None:
+        """Take a permit for one request to a target.
+
+        Raises:
+            ServiceError: With code TARGET_LIMITED if none is free.
+        """
+
+    def record_limit(
+        self, registration: Registration, per_second: float
+    ) -> None:
+        """Record that a response named a limit."""
+
+    async def record_no_limit(
+        self, registration: Registration, sent_at: timedelta
+    ) -> None:
+        """Record that a response to a request sent at a time named none."""
+
+
 @define
 class Sender:
-    """Sends requests to targets.
-
-    Attributes:
-        limits: Limits that targets named in their responses.
-    """
+    """Sends requests to targets."""
 
     clock: Clock
     dialect: TargetDialect
+    permits: Permits
     client: HttpClient = field(factory=HttpClient)
-    limits: TargetLimits = field(factory=TargetLimits)
 
-    def open(self, target: RegisteredTarget) -> Call:
-        """Return a call to a target; it is an async context manager."""
+    @asynccontextmanager
+    async def open(
+        self, target: RegisteredTarget, urgency: Urgency
+    ) -> AsyncIterator[Call]:
+        """Open a call for one request to a target.
+
+        Raises:
+            ServiceError: With code TARGET_LIMITED if the target takes no
+                request now.
+        """
+        await self.permits.acquire(target, urgency)
         address = parse_address(target.registration.address)
-        return self.client.call(
-            address,
-            Timeouts(CONNECT_TIMEOUT, PROGRESS_TIMEOUT),
-        )
+        timeouts = Timeouts(CONNECT_TIMEOUT, PROGRESS_TIMEOUT)
+        async with self.client.call(address, timeouts) as call:
+            yield call
 
     async def fetch(
         self,
         target: RegisteredTarget,
         outgoing: OutgoingRequest,
         timeout: timedelta,
-        time_left: timedelta | None,
+        urgency: Urgency,
     ) -> LabelledResponse:
         """Send a request and return the complete response.
 
         Args:
             target: Where to send it.
             outgoing: The request.
-            timeout: Maximum time to wait for the complete response.
-            time_left: Time limit that is sent to the target; None for none.
+            timeout: Maximum time to wait for the complete response; the target
+                is told of it.
+            urgency: How soon the response is needed.
 
         Raises:
             ServiceError: If there is no valid response. Its verdict is NOT_RUN
                 only if the target cannot have run the request.
         """
-        labels = CallLabels(outgoing.id, target.name, time_left)
-        async with self.open(target) as call, limit_call_time(call, timeout):
-            head = await self.start(call, target, outgoing, labels)
-            body = await call.read_body()
+        deadline = self.clock.elapsed() + timeout
+        async with self.open(target, urgency) as call:
+            time_left = deadline - self.clock.elapsed()
+            labels = CallLabels(outgoing.id, target.name, time_left)
+            async with limit_call_time(call, time_left):
+                head = await self.start(call, target, outgoing, labels)
+                body = await call.read_body()
         return LabelledResponse(
             Response(head, body),
             self.dialect.read_labels(head),
@@ -150,7 +180,7 @@
         sent_at = self.clock.elapsed()
         response = await call.send(head, outgoing.body)
         received = self.dialect.read_labels(response)
-        self._record_limit(target, response, received, sent_at)
+        await self._record_limit(target, response, received, sent_at)
         if received.request_id and received.request_id != outgoing.id:
             raise ServiceError(Code.WRONG_ANSWER, 'response to another request')
         if received.not_run:
@@ -164,31 +194,26 @@
             )
         return response
 
-    def _record_limit(
+    async def _record_limit(
         self,
         target: RegisteredTarget,
         response: ResponseHead,
         received: ResponseLabels,
         sent_at: timedelta,
     ) -> None:
-        """Record that a response named a limit of its target, or none."""
+        """Record the limit that a response names, or that it names none."""
         if response.status == MISDIRECTED_STATUS:
             return  # another target responded
         registration = target.registration
         if received.max_rate is not None:
-            now = self.clock.elapsed()
-            if self.limits.record(registration, received.max_rate, now):
-                LIMIT_NAMED.write(
-                    target=target.name, per_second=received.max_rate
-                )
+            self.permits.record_limit(registration, received.max_rate)
             LIMITED_RESPONSE.write(
                 request_id=received.request_id,
                 target=target.name,
                 status=response.status,
             )
         elif response.status < MIN_UNSUCCESSFUL_STATUS:
-            if self.limits.lift(registration, sent_at):
-                LIMIT_LIFTED.write(target=target.name)
+            await self.permits.record_no_limit(registration, sent_at)
 
 
 def strip_hop_by_hop_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -8,13 +8,15 @@
 from sequoia_policy.errors import ServiceError
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.abandonments import AbandonmentSweeper
+from sequoia_rollouts.abandonments import make_abandonment_sweeper
 from sequoia_rollouts.batches import split_writes
 from sequoia_rollouts.ownership import (
     OwnedSubmission,
     OwnershipTable,
     is_first,
 )
+from sequoia_rollouts.partition_sweepers import PartitionSweeper
+from sequoia_rollouts.permit_removals import make_permit_sweeper
 from sequoia_rollouts.stores import (
     ConflictError,
     Guard,
@@ -52,16 +54,19 @@
     store: Store
     clock: Clock
     ownership: OwnershipTable
-    abandonments: AbandonmentSweeper = field(init=False)
+    abandonments: PartitionSweeper = field(init=False)
+    permits: PartitionSweeper = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the sweeper of abandoned acceptances."""
-        self.abandonments = AbandonmentSweeper(self.store, self.ownership)
+        """Create the sweepers of single tables."""
+        self.abandonments = make_abandonment_sweeper(self.store, self.ownership)
+        self.permits = make_permit_sweeper(self.store, self.ownership)
 
     async def run(self) -> None:
         """Sweep until cancelled."""
         async with curio.TaskGroup(wait=all) as group:
             await group.spawn(supervise, self.abandonments.run)
+            await group.spawn(supervise, self.permits.run)
             await group.spawn(supervise, self.run_removals)
 
     async def run_removals(self) -> None:
--- a/packages/rollouts/tests/test_boundary.py
+++ b/packages/rollouts/tests/test_boundary.py
@@ -19,6 +19,8 @@
             'attempt-id',
             'Server-Stamp',
             'server-stamp',
+            'Server-Limit',
+            'server-limit',
             'Expect-Instance',
             'expect-instance',
             'Prompt-Prefix',
--- a/packages/rollouts/tests/test_limits.py
+++ b/packages/rollouts/tests/test_limits.py
@@ -24,7 +24,7 @@
     async def main():
         async with open_site() as site:
             host, scorer = site.hosts[0], site.scorers[0]
-            limits = host.live.sender.limits
+            limits = host.live.sender.permits.limits
             found = []
             for limit in ('2.4', '2.4', ''):
                 scorer.limit = limit
@@ -43,7 +43,7 @@
             site.engines[0].limit = '50'
             await site.submit(site.hosts[0], count=2)
             await site.read_all_results(site.hosts[0])
-            return site.hosts[0].live.sender.limits.by_name
+            return site.hosts[0].live.sender.permits.limits.by_name
 
     limits = curio.run(main)
     assert limits['e0'].per_second == 50
--- a/packages/rollouts/tests/test_stalls.py
+++ b/packages/rollouts/tests/test_stalls.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from sequoia_platform.engines import PlatformDialect
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget, Registration
 from sequoia_policy.verdicts import Verdict
 from sequoia_rollouts.events import MAX_EVENT_BYTES, EventReader
@@ -129,14 +130,22 @@
         await task.cancel()
 
 
+class NoLimits:
+    async def acquire(self, target, urgency):
+        """Let each request pass."""
+
+    async def record_no_limit(self, registration, sent_at):
+        """Record nothing."""
+
+
 async def fetch(sender, target, request_id):
     outgoing = OutgoingRequest(request_id, RequestHead('POST', '/'))
-    return await sender.fetch(target, outgoing, TIMEOUT, TIMEOUT)
+    return await sender.fetch(target, outgoing, TIMEOUT, Urgency.LIVE)
 
 
 def test_a_late_copy_of_a_refusal_does_not_refuse_the_next_request():
     async def work(target):
-        sender = Sender(SystemClock(), PlatformDialect())
+        sender = Sender(SystemClock(), PlatformDialect(), NoLimits())
         with pytest.raises(ServiceError) as first:
             await fetch(sender, target, 'r1')
         with pytest.raises(ServiceError) as second:
@@ -160,7 +169,7 @@
 )
 def test_no_request_gets_the_response_to_another_one(extras):
     async def work(target):
-        sender = Sender(SystemClock(), PlatformDialect())
+        sender = Sender(SystemClock(), PlatformDialect(), NoLimits())
         for number, _extra in enumerate(extras):
             request_id = f'r{number}'
             try:
