Judge the failure of a request to a target in one place

Cause: live requests, items and reward calls each decided by themselves what a failure says about its target, in three chains of the same shape; a new code had to be added to all three. registries.py also held the choice among targets. A reward call that timed out before it was sent now counts as a failure of its target, as for items and live requests.

--- a/packages/policy/sequoia_policy/registries.py
+++ b/packages/policy/sequoia_policy/registries.py
@@ -1,7 +1,6 @@
 """Registered targets, with the measurements of one host."""
 
-import random
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from datetime import timedelta
 
 from attrs import define, field, frozen
@@ -15,8 +14,6 @@
 MAX_DOUBLINGS = 3
 SMOOTHING = 0.3  # weight of the newest sample in the moving average
 MAX_DURATION_AGE = timedelta(seconds=4)
-SLOW_FACTOR = 3  # multiple of the median duration above which one is slow
-DEFAULT_SECONDS = 0.05  # of a unit of work if no duration is known
 
 
 @frozen
@@ -294,50 +291,3 @@
     if known.service != registration.service:
         return False
     return known.started_at == registration.started_at
-
-
-def median_seconds(
-    targets: Collection[RegisteredTarget], now: timedelta
-) -> float:
-    """Return the median duration of a unit of work, in seconds."""
-    durations = [target.known_seconds(now) for target in targets]
-    known = sorted(seconds for seconds in durations if seconds is not None)
-    return known[len(known) // 2] if known else DEFAULT_SECONDS
-
-
-def prefer_local(
-    usable: list[RegisteredTarget],
-    domain: str,
-    now: timedelta,
-) -> list[RegisteredTarget]:
-    """Return the targets of a failure domain that are not slow, or all.
-
-    This limits the connections of each host and keeps requests inside the
-    failure domain.
-    """
-    max_seconds = median_seconds(usable, now) * SLOW_FACTOR
-    local = [
-        target
-        for target in usable
-        if target.registration.domain == domain
-        and target.estimate(now, 0) <= max_seconds
-    ]
-    return local or usable
-
-
-def choose_of_two(
-    usable: list[RegisteredTarget],
-    now: timedelta,
-    rng: random.Random,
-) -> RegisteredTarget:
-    """Return the faster of two random targets.
-
-    Each host knows only its own requests. If each chose the best of all
-    targets, many hosts would choose the same one.
-    """
-    median = median_seconds(usable, now)
-    candidates = rng.sample(usable, min(2, len(usable)))
-    return min(
-        candidates,
-        key=lambda target: target.estimate(now, median),
-    )
--- /dev/null
+++ b/packages/policy/sequoia_policy/target_failures.py
@@ -0,0 +1,35 @@
+"""What the failure of a request says about its target."""
+
+from datetime import timedelta
+
+from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.registries import RegisteredTarget, TargetRegistry
+
+NO_GRACE = timedelta()
+NO_BACKOFF = timedelta()
+
+
+def record_target_failure(
+    registry: TargetRegistry,
+    target: RegisteredTarget,
+    failure: ServiceError,
+    now: timedelta,
+    refusal_backoff: timedelta = NO_BACKOFF,
+) -> None:
+    """Update a target's state after a request to it failed.
+
+    Args:
+        registry: Where the target is registered.
+        target: The target.
+        failure: Why the request failed.
+        now: Current time.
+        refusal_backoff: For how long to send no new work after a refusal.
+    """
+    if failure.code is Code.MISPLACED:
+        registry.remove(target.name, now, NO_GRACE)
+    elif failure.code is Code.CONNECT_FAILED:
+        target.record_unreachable(now)
+    elif failure.code is Code.TARGET_REFUSED:
+        target.back_off(now, refusal_backoff)
+    elif failure.code is not Code.TARGET_LIMITED:
+        target.record_failure(now)
--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -6,7 +6,7 @@
 import curio
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
-from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.errors import ServiceError
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.routing import Route
 from sequoia_policy.submissions import (
@@ -16,6 +16,7 @@
     Submission,
     WorkQueue,
 )
+from sequoia_policy.target_failures import record_target_failure
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.durations import seconds_of
 from sequoia_wire.logs import Log, LogKind
@@ -293,16 +294,13 @@
             events=self._count_events(item),
             targets_age=seconds_of(self.dependencies.directory.targets_age()),
         )
-        if failure.code is Code.MISPLACED:
-            self.dependencies.directory.registry.remove(
-                target.name, now, timedelta()
-            )
-        elif failure.code is Code.TARGET_REFUSED:
-            target.back_off(now, REFUSAL_BACKOFF)
-        elif failure.code is Code.CONNECT_FAILED:
-            target.record_unreachable(now)
-        elif failure.code is not Code.TARGET_LIMITED:
-            target.record_failure(now)
+        record_target_failure(
+            self.dependencies.directory.registry,
+            target,
+            failure,
+            now,
+            REFUSAL_BACKOFF,
+        )
         if failure.verdict is Verdict.NOT_RUN:
             await curio.sleep(REQUEUE_DELAY.total_seconds())
         self.queue.requeue(item)
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -8,11 +8,9 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.permits import Urgency
-from sequoia_policy.registries import (
-    RegisteredTarget,
-    choose_of_two,
-    prefer_local,
-)
+from sequoia_policy.registries import RegisteredTarget
+from sequoia_policy.target_choices import choose_of_two, prefer_local
+from sequoia_policy.target_failures import record_target_failure
 from sequoia_wire.durations import seconds_of
 from sequoia_wire.logs import Log, LogKind
 
@@ -20,8 +18,6 @@
 from sequoia_rollouts.live_attempts import RETRY_AFTER, LiveAttempts
 
 REFUSAL_BACKOFF = timedelta(milliseconds=15)
-# The target works, but takes no more requests now.
-BUSY_CODES = frozenset((Code.TARGET_REFUSED, Code.TARGET_LIMITED))
 
 log = Log('live')
 ATTEMPT_FAILED = log.event(
@@ -97,7 +93,8 @@
         failure: ServiceError,
     ) -> None:
         """Update the target's state, then count and log the failed attempt."""
-        self._update_target(target, failure)
+        now = self.clock.elapsed()
+        record_target_failure(self.directory.registry, target, failure, now)
         attempts.record_failure(target.name, failure)
         ATTEMPT_FAILED.write(
             request_id=attempts.request.outgoing.id,
@@ -106,7 +103,7 @@
             verdict=failure.verdict.value,
             attempts=attempts.count,
             refusals=attempts.refusals,
-            left=(attempts.deadline - self.clock.elapsed()).total_seconds(),
+            left=(attempts.deadline - now).total_seconds(),
             targets_age=seconds_of(self.directory.targets_age()),
         )
 
@@ -160,14 +157,3 @@
             verdict=attempts.verdict,
             retry_after=max(RETRY_AFTER, min_wait),
         )
-
-    def _update_target(
-        self, target: RegisteredTarget, failure: ServiceError
-    ) -> None:
-        now = self.clock.elapsed()
-        if failure.code is Code.MISPLACED:
-            self.directory.registry.remove(target.name, now, timedelta())
-        elif failure.code is Code.CONNECT_FAILED:
-            target.record_unreachable(now)
-        elif failure.code not in BUSY_CODES:
-            target.record_failure(now)
--- a/packages/rollouts/sequoia_rollouts/placers.py
+++ b/packages/rollouts/sequoia_rollouts/placers.py
@@ -8,12 +8,13 @@
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.permits import Urgency
-from sequoia_policy.registries import RegisteredTarget, median_seconds
+from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.subsets import (
     find_free,
     find_search_pause,
     find_subset_size,
 )
+from sequoia_policy.target_choices import median_seconds
 
 from sequoia_rollouts.directories import Directory
 
--- a/packages/rollouts/sequoia_rollouts/rewards.py
+++ b/packages/rollouts/sequoia_rollouts/rewards.py
@@ -7,12 +7,12 @@
 import curio
 from attrs import define
 from sequoia_policy.clocks import Clock
-from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.errors import ServiceError
 from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.routing import Route
 from sequoia_policy.submissions import Item, RewardCall, WorkQueue
-from sequoia_policy.verdicts import Verdict
+from sequoia_policy.target_failures import record_target_failure
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import RequestHead, encode_headers
 
@@ -151,16 +151,9 @@
         failure: ServiceError,
     ) -> None:
         now = self.clock.elapsed()
-        if failure.code is Code.MISPLACED:
-            self.directory.registry.remove(target.name, now, timedelta())
-        elif failure.code is Code.CONNECT_FAILED:
-            target.record_unreachable(now)
-        elif failure.code is Code.TARGET_LIMITED:
-            return
-        elif failure.verdict is Verdict.NOT_RUN:
-            target.back_off(now, RETRY_BACKOFF)
-        else:
-            target.record_failure(now)
+        record_target_failure(
+            self.directory.registry, target, failure, now, RETRY_BACKOFF
+        )
         REWARD_ATTEMPT_FAILED.write(
             request_id=call.id,
             target=target.name,
