Log a fingerprint that repetitions of a live request share

Change: 'live: attempt failed' has a fingerprint of method, host, target and body. Nothing decides by it.

--- a/packages/rollouts/sequoia_rollouts/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live_attempts.py
@@ -1,5 +1,6 @@
 """A live request and the state of its attempts."""
 
+import hashlib
 from datetime import timedelta
 
 from attrs import define, field, frozen
@@ -11,6 +12,7 @@
 from sequoia_rollouts.senders import OutgoingRequest
 
 RETRY_AFTER = timedelta(milliseconds=300)
+FINGERPRINT_BYTES = 12
 
 
 @frozen
@@ -34,6 +36,18 @@
     time_limit: timedelta | None = None
     resume_after: str = ''
 
+    def find_fingerprint(self) -> str:
+        """Return a text that is the same for repetitions of the request.
+
+        Ids, deadlines and other headers differ between repetitions.
+        """
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        head = self.outgoing.head
+        for text in (head.method, self.host.lower(), head.target):
+            digest.update(f'{text}\n'.encode())
+        digest.update(self.outgoing.body)
+        return digest.hexdigest()
+
 
 @define
 class LiveAttempts:
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -23,6 +23,7 @@
 ATTEMPT_FAILED = log.event(
     'attempt failed',
     'request_id',
+    'fingerprint',
     'target',
     'code',
     'verdict',
@@ -98,6 +99,7 @@
         attempts.record_failure(target.name, failure)
         ATTEMPT_FAILED.write(
             request_id=attempts.request.outgoing.id,
+            fingerprint=attempts.request.find_fingerprint(),
             target=target.name,
             code=failure.code.value.label,
             verdict=failure.verdict.value,
