--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -44,6 +44,9 @@
         limit: Requests per second that responses name as the limit; empty for
             none.
         received_at: When each request for this server arrived.
+        crash_path: Requests whose path begins so end the server, which starts
+            again under another name; empty for none.
+        crashed_at: When it ended each time.
         runs: Id and first event of each request that ran.
         priorities: Values of the priority header of the requests that ran; None
             where it is missing.
@@ -65,6 +68,8 @@
     wrong_ids: int = 0
     limit: str = ''
     received_at: list = field(factory=list)
+    crash_path: str = ''
+    crashed_at: list = field(factory=list)
     runs: list = field(factory=list)
     priorities: list = field(factory=list)
     requests: list = field(factory=list)
@@ -150,6 +155,8 @@
                 503, headers=encode_headers({'not-run': '1'})
             )
             return
+        if self.crash_path and exchange.head.path.startswith(self.crash_path):
+            self.crash()
         self.running += 1
         self.max_running = max(self.max_running, self.running)
         try:
@@ -157,6 +164,11 @@
         finally:
             self.running -= 1
 
+    def crash(self):
+        self.crashed_at.append(time.monotonic())
+        self.name = f'{self.name.partition("-")[0]}-{len(self.crashed_at)}'
+        raise ConnectionAbortedError('the server crashes')
+
     async def run(self, exchange):
         request_id = exchange.head.header('attempt-id')
         first = int(exchange.head.header('last-event-id') or 0) + 1
--- /dev/null
+++ b/packages/rollouts/tests/test_quarantines.py
@@ -0,0 +1,64 @@
+"""Tests of live requests that crash the targets that run them."""
+
+import curio
+from sites import open_site
+
+CRASH_PATH = '/live/crash'
+MAX_CRASHES = 3
+MAX_LATER_SENDS = 3
+CONTACT = 3.0  # seconds
+
+
+async def keep_registered(site):
+    """Register crashed servers again under their new names."""
+    known = {server: server.name for server in site.scorers}
+    while True:
+        for server, name in known.items():
+            if server.name != name:
+                site.store.remove('servers', name)
+                site.store.put('servers', server.name, server.entry())
+                known[server] = server.name
+        await curio.sleep(0.02)
+
+
+async def repeat_crashing_request(site, seconds, prefix='c'):
+    """Send one request again and again at all hosts in turn."""
+    statuses = []
+    for number in range(round(seconds / 0.1)):
+        host = site.hosts[number % len(site.hosts)]
+        response = await site.call(
+            host, 'POST', CRASH_PATH, b'b', attempt_id=f'{prefix}{number}'
+        )
+        statuses.append(response.status)
+        await curio.sleep(0.1)
+    return statuses
+
+
+def list_crashes(site):
+    return sorted(time for server in site.scorers for time in server.crashed_at)
+
+
+def run_crashing_site(work, hosts=2, scorers=3):
+    async def main():
+        async with open_site(hosts=hosts, scorers=scorers) as site:
+            for server in site.scorers:
+                server.crash_path = CRASH_PATH
+            registering = await curio.spawn(keep_registered, site)
+            try:
+                return await work(site)
+            finally:
+                await registering.cancel()
+
+    return curio.run(main)
+
+
+def test_request_that_crashed_three_targets_is_not_sent_to_more():
+    async def work(site):
+        await repeat_crashing_request(site, CONTACT + 3)
+        return list_crashes(site)
+
+    crashes = run_crashing_site(work)
+    assert len(crashes) >= MAX_CRASHES
+    in_touch = crashes[MAX_CRASHES - 1] + CONTACT
+    later = [time for time in crashes if time > in_touch]
+    assert len(later) <= MAX_LATER_SENDS
