Keep requests that crash their targets away from all targets

Cause: a failure was charged to the target only. No host remembered the request, and a host that did would have seen two or three of its repetitions. Change: hosts share the processes that crashed under a request in a table that all follow. From the third on the request is refused as not run, for two minutes and longer with each further crash; then one host may try it once. A success ends it. Live requests and streams only; items stay owed. The two sweepers of single rows share one remover. Why it works: each crash is in the store before its host retries, and a host reads the table within a second, less than the 3 s that are allowed.

--- a/packages/policy/sequoia_policy/errors.py
+++ b/packages/policy/sequoia_policy/errors.py
@@ -47,6 +47,7 @@
     NOT_READY = ErrorKind('not_ready', 503)
     CONNECT_FAILED = ErrorKind('connect_failed', 502)
     TARGET_REFUSED = ErrorKind('target_refused', 503)
+    QUARANTINED = ErrorKind('quarantined', 503)
     TARGET_LIMITED = ErrorKind('target_limited', 503)
     TARGET_BROKE = ErrorKind('target_broke', 502, Verdict.MAY_HAVE_RUN)
     TARGET_STALLED = ErrorKind('target_stalled', 504, Verdict.MAY_HAVE_RUN)
--- a/packages/policy/sequoia_policy/rates.py
+++ b/packages/policy/sequoia_policy/rates.py
@@ -7,6 +7,8 @@
 MIN_FEED_INTERVAL = timedelta(milliseconds=50)
 FEEDS_PER_HOST = 3  # tables that a host follows
 FEED_READS_PER_SECOND = 1200  # maximum of all hosts, whatever the store allows
+QUARANTINE_READS_PER_SECOND = 400  # of all hosts
+MIN_QUARANTINE_INTERVAL = timedelta(milliseconds=500)
 FEED_SHARE = 0.6  # of the store's reads; the rest is for results and listings
 MIN_HEARTBEAT_INTERVAL = timedelta(milliseconds=400)
 PERMIT_SHARE = 0.25  # of the store's writes, for limits that targets name
@@ -38,6 +40,18 @@
         limit = min(FEED_READS_PER_SECOND, self.reads * FEED_SHARE)
         return max(MIN_FEED_INTERVAL, timedelta(seconds=reads / limit))
 
+    def find_quarantine_interval(self, hosts: int) -> timedelta:
+        """Return the minimum time between two reads of crashing requests.
+
+        Args:
+            hosts: Number of hosts; 0 if it is unknown.
+        """
+        reads = hosts or UNKNOWN_FLEET_SIZE
+        return max(
+            MIN_QUARANTINE_INTERVAL,
+            timedelta(seconds=reads / QUARANTINE_READS_PER_SECOND),
+        )
+
     def find_permit_rate(self, hosts: int) -> float:
         """Return the permit transactions per second of one host.
 
--- a/packages/rollouts/sequoia_rollouts/hedges.py
+++ b/packages/rollouts/sequoia_rollouts/hedges.py
@@ -121,8 +121,7 @@
                 attempts,
                 group,
                 hedge_delay,
-                attempts.route.may_repeat
-                and not self.targets.are_engines(attempts.service),
+                self._may_run_twice(attempts),
             )
             await self._start(hedged, first)
             labelled = await self._wait_for_response(hedged)
@@ -133,6 +132,14 @@
                 slower_target.record_failure(self.clock.elapsed())
         return labelled
 
+    def _may_run_twice(self, attempts: LiveAttempts) -> bool:
+        """Return whether a request may run at two targets at a time."""
+        if self.targets.are_engines(attempts.service):
+            return False
+        if self.retries.quarantine.is_suspect(attempts.request):
+            return False
+        return attempts.route.may_repeat
+
     async def _start(
         self, hedged: HedgedRequest, target: RegisteredTarget
     ) -> None:
@@ -157,7 +164,7 @@
                 return await self._finish_last_attempt(
                     hedged.attempts, task, target
                 )
-            self.targets.record_failure(hedged.attempts, target, failure)
+            await self.retries.record_failure(hedged.attempts, target, failure)
 
     async def _wait_for_attempt(
         self, hedged: HedgedRequest
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -120,6 +120,7 @@
             self.rng,
             self.settings.domain,
             lambda: self.coordination.peers.is_cut_off,
+            self.heartbeats,
         )
         self.submission_handler = SubmissionHandler(
             store,
@@ -204,6 +205,7 @@
             *self.coordination.loops,
             self.ownership.follower.run,
             self.ownership.run_adoption,
+            *self.live.quarantine.loops,
             self.weights.run,
             self.sweeper.run,
             self.reloader.run,
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -14,6 +14,7 @@
 from sequoia_wire.responses import ResponseSink
 
 from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.heartbeats import HeartbeatService
 from sequoia_rollouts.hedges import (
     MIN_ERROR_STATUS,
     HedgedSender,
@@ -27,7 +28,12 @@
 from sequoia_rollouts.live_retries import LiveRetries
 from sequoia_rollouts.live_streams import StreamRelay
 from sequoia_rollouts.live_targets import LiveTargets
-from sequoia_rollouts.senders import LabelledResponse, Sender
+from sequoia_rollouts.quarantines import Quarantine
+from sequoia_rollouts.senders import (
+    MIN_UNSUCCESSFUL_STATUS,
+    LabelledResponse,
+    Sender,
+)
 from sequoia_rollouts.streams import LiveStream
 
 log = Log('live')
@@ -58,6 +64,8 @@
     rng: random.Random
     domain: str
     is_cut_off: Callable[[], bool]
+    heartbeats: HeartbeatService
+    quarantine: Quarantine = field(init=False)
     targets: LiveTargets = field(init=False)
     retries: LiveRetries = field(init=False)
     hedged_sender: HedgedSender = field(init=False)
@@ -71,7 +79,10 @@
             self.rng,
             self.domain,
         )
-        self.retries = LiveRetries(self.clock, self.targets)
+        self.quarantine = Quarantine(
+            self.directory.store, self.clock, self.heartbeats
+        )
+        self.retries = LiveRetries(self.clock, self.targets, self.quarantine)
         self.hedged_sender = HedgedSender(
             self.clock,
             self.targets,
@@ -109,10 +120,13 @@
                 request may have run.
         """
         attempts = self._start_attempts(request)
+        await self.quarantine.check(request)
         while True:
             response = await self._try_once(attempts)
             if response is not None:
                 self._log_response(attempts, response)
+                if response.status < MIN_UNSUCCESSFUL_STATUS:
+                    await self.quarantine.record_success(request)
                 return response
 
     async def stream(
@@ -131,7 +145,11 @@
         stream = LiveStream(
             self._start_attempts(request), sink, request.resume_after
         )
-        return await self.relay.run(stream)
+        await self.quarantine.check(request)
+        response = await self.relay.run(stream)
+        if response is None:
+            await self.quarantine.record_success(request)
+        return response
 
     def _start_attempts(self, request: LiveRequest) -> LiveAttempts:
         route = self.find_route(request.host, request.path)
--- a/packages/rollouts/sequoia_rollouts/live_retries.py
+++ b/packages/rollouts/sequoia_rollouts/live_retries.py
@@ -12,6 +12,7 @@
 
 from sequoia_rollouts.live_attempts import RETRY_AFTER, LiveAttempts
 from sequoia_rollouts.live_targets import LiveTargets
+from sequoia_rollouts.quarantines import Quarantine
 
 MAX_REFUSALS = 12  # "not run" responses per request
 MIN_TIME_LEFT = timedelta(milliseconds=15)  # needed for another attempt
@@ -24,6 +25,7 @@
 
     clock: Clock
     targets: LiveTargets
+    quarantine: Quarantine
     budget: RetryBudget = field(factory=lambda: RetryBudget(RETRY_SHARE))
 
     async def handle_failure(
@@ -37,10 +39,20 @@
         Raises:
             ServiceError: The final error if the request must not be retried.
         """
-        self.targets.record_failure(attempts, target, failure)
+        await self.record_failure(attempts, target, failure)
         self._check_retry(attempts, failure)
         await self.targets.back_off(attempts, failure)
 
+    async def record_failure(
+        self,
+        attempts: LiveAttempts,
+        target: RegisteredTarget,
+        failure: ServiceError,
+    ) -> None:
+        """Record a failed attempt, and whether its target crashed."""
+        self.targets.record_failure(attempts, target, failure)
+        await self.quarantine.record_failure(attempts.request, target, failure)
+
     def allows(self, attempts: LiveAttempts, failure: ServiceError) -> bool:
         """Return whether an error response of a target may be retried."""
         facts = attempts.make_facts(self.clock.elapsed())
@@ -51,6 +63,8 @@
     ) -> None:
         if attempts.refusals > MAX_REFUSALS:
             raise self._make_final_error(attempts, failure)
+        if self.quarantine.is_quarantined(attempts.request):
+            raise self._make_final_error(attempts, failure)
         facts = attempts.make_facts(self.clock.elapsed())
         if failure.verdict is Verdict.NOT_RUN and facts.is_safe:
             if facts.remaining > MIN_TIME_LEFT:
--- a/packages/rollouts/sequoia_rollouts/partition_sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/partition_sweepers.py
@@ -6,20 +6,28 @@
 import curio
 from attrs import define
 from sequoia_policy.errors import ServiceError
-from sequoia_wire.logs import LogEvent
+from sequoia_wire.logs import Log, LogEvent, LogKind
 
 from sequoia_rollouts.ownership import OwnershipTable, is_first
 from sequoia_rollouts.stores import (
     ConflictError,
+    Guard,
     Row,
     RowRange,
+    RowWrite,
     Store,
+    Transaction,
     read_all,
 )
 from sequoia_rollouts.tables import PARTITIONS
 
 SWEEP_INTERVAL = timedelta(seconds=60)
 
+log = Log('sweep')
+ROW_NOT_REMOVED = log.event(
+    'row not removed', 'key', 'detail', kind=LogKind.FAILURE
+)
+
 
 @define
 class PartitionSweeper:
@@ -31,6 +39,7 @@
         remove_outdated: Removes a row if it is outdated at a time of the
             store's clock.
         not_removed: Logged with the key and the reason if that failed.
+        partitions: Partitions of the table.
     """
 
     store: Store
@@ -38,6 +47,7 @@
     table: str
     remove_outdated: Callable[[Row, timedelta], Awaitable[None]]
     not_removed: LogEvent
+    partitions: tuple[str, ...] = PARTITIONS
 
     async def run(self) -> None:
         """Sweep until cancelled."""
@@ -47,7 +57,7 @@
 
     async def sweep(self) -> None:
         """Remove all outdated rows of the table."""
-        for partition in PARTITIONS:
+        for partition in self.partitions:
             if is_first(self.ownership, partition):
                 await self._sweep_partition(partition)
 
@@ -65,3 +75,47 @@
             await self.remove_outdated(row, now)
         except (ConflictError, ServiceError) as failure:
             self.not_removed.write(key=row.key.key, detail=str(failure))
+
+
+@define
+class RowRemover:
+    """Removes single rows.
+
+    Attributes:
+        is_outdated: Returns whether a row is outdated at a time of the store's
+            clock; raises ``ServiceError`` if the row cannot be decoded.
+    """
+
+    store: Store
+    is_outdated: Callable[[Row, timedelta], bool]
+
+    async def remove_outdated(self, row: Row, now: timedelta) -> None:
+        """Remove a row if it is outdated.
+
+        Raises:
+            ConflictError: If a host has changed the row.
+            ServiceError: If it cannot be decoded, or the store does not
+                respond.
+        """
+        if self.is_outdated(row, now):
+            removal = (RowWrite(row.key),)
+            guard = (Guard(row.key, row.version),)
+            await self.store.commit(Transaction(removal, guard))
+
+
+def make_row_sweeper(
+    store: Store,
+    ownership: OwnershipTable,
+    table: str,
+    is_outdated: Callable[[Row, timedelta], bool],
+    partitions: tuple[str, ...] = PARTITIONS,
+) -> PartitionSweeper:
+    """Return a sweeper of single rows."""
+    return PartitionSweeper(
+        store,
+        ownership,
+        table,
+        RowRemover(store, is_outdated).remove_outdated,
+        ROW_NOT_REMOVED,
+        partitions,
+    )
--- a/packages/rollouts/sequoia_rollouts/permits.py
+++ b/packages/rollouts/sequoia_rollouts/permits.py
@@ -19,7 +19,11 @@
 )
 from sequoia_policy.rates import UNKNOWN_FLEET_SIZE
 from sequoia_policy.registries import RegisteredTarget, Registration
-from sequoia_policy.target_limits import TargetLimit, TargetLimits
+from sequoia_policy.target_limits import (
+    FORGET_AFTER,
+    TargetLimit,
+    TargetLimits,
+)
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
@@ -294,3 +298,13 @@
     except ServiceError as failure:
         PERMITS_NOT_SHARED.write(target=row.key.key, detail=failure.detail)
         return StoredPermits(row.version)
+
+
+def is_outdated(row: Row, now: timedelta) -> bool:
+    """Return whether the limit of a row was last named long ago.
+
+    Raises:
+        ServiceError: If the row cannot be decoded.
+    """
+    state = decode(row.body or b'', PermitState)
+    return now - max(state.named_at, state.due_at) > FORGET_AFTER
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -15,8 +15,11 @@
     OwnershipTable,
     is_first,
 )
-from sequoia_rollouts.partition_sweepers import PartitionSweeper
-from sequoia_rollouts.permit_removals import make_permit_sweeper
+from sequoia_rollouts import permits, quarantines
+from sequoia_rollouts.partition_sweepers import (
+    PartitionSweeper,
+    make_row_sweeper,
+)
 from sequoia_rollouts.stores import (
     ConflictError,
     Guard,
@@ -56,17 +59,28 @@
     ownership: OwnershipTable
     abandonments: PartitionSweeper = field(init=False)
     permits: PartitionSweeper = field(init=False)
+    crashes: PartitionSweeper = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the sweepers of single tables."""
         self.abandonments = make_abandonment_sweeper(self.store, self.ownership)
-        self.permits = make_permit_sweeper(self.store, self.ownership)
+        self.permits = make_row_sweeper(
+            self.store, self.ownership, permits.TABLE, permits.is_outdated
+        )
+        self.crashes = make_row_sweeper(
+            self.store,
+            self.ownership,
+            quarantines.TABLE,
+            quarantines.is_outdated,
+            quarantines.PARTITIONS,
+        )
 
     async def run(self) -> None:
         """Sweep until cancelled."""
         async with curio.TaskGroup(wait=all) as group:
             await group.spawn(supervise, self.abandonments.run)
             await group.spawn(supervise, self.permits.run)
+            await group.spawn(supervise, self.crashes.run)
             await group.spawn(supervise, self.run_removals)
 
     async def run_removals(self) -> None:
--- a/packages/rollouts/tests/test_quarantines.py
+++ b/packages/rollouts/tests/test_quarantines.py
@@ -1,7 +1,7 @@
 """Tests of live requests that crash the targets that run them."""
 
 import curio
-from sites import open_site
+from sites import open_site, wait_until
 
 CRASH_PATH = '/live/crash'
 MAX_CRASHES = 3
@@ -52,6 +52,11 @@
     return curio.run(main)
 
 
+def stop_crashing(site):
+    for server in site.scorers:
+        server.crash_path = ''
+
+
 def test_request_that_crashed_three_targets_is_not_sent_to_more():
     async def work(site):
         await repeat_crashing_request(site, CONTACT + 3)
@@ -62,3 +67,68 @@
     in_touch = crashes[MAX_CRASHES - 1] + CONTACT
     later = [time for time in crashes if time > in_touch]
     assert len(later) <= MAX_LATER_SENDS
+
+
+def test_request_that_crashed_three_targets_is_refused_as_not_run():
+    async def work(site):
+        await repeat_crashing_request(site, 1)
+        crashes = len(list_crashes(site))
+        responses = [
+            await site.call(
+                host, 'POST', CRASH_PATH, b'b', attempt_id=host.settings.name
+            )
+            for host in site.hosts
+        ]
+        return len(list_crashes(site)) - crashes, responses
+
+    crashes, responses = run_crashing_site(work)
+    assert crashes == 0
+    for response in responses:
+        assert response.status == 503
+        assert float(response.head.header('retry-after')) >= 1
+
+
+def test_other_requests_are_served_while_one_is_quarantined():
+    async def work(site):
+        await repeat_crashing_request(site, 1)
+        stop_crashing(site)
+        await curio.sleep(1)
+        return [
+            await site.call(host, 'POST', path, body, attempt_id='other')
+            for host in site.hosts
+            for path, body in (('/live/a', b'b'), (CRASH_PATH, b'other'))
+        ]
+
+    responses = run_crashing_site(work)
+    assert [response.status for response in responses] == [200] * 4
+
+
+def test_restarted_host_knows_quarantined_requests():
+    async def work(site):
+        await repeat_crashing_request(site, 1)
+        await site.kill(site.hosts[0])
+        host = await site.start_host('h1')
+        await wait_until(lambda: host.live.quarantine.stored)
+        before = len(list_crashes(site))
+        response = await site.call(
+            host, 'POST', CRASH_PATH, b'b', attempt_id='again'
+        )
+        return response.status, len(list_crashes(site)) - before
+
+    assert run_crashing_site(work) == (503, 0)
+
+
+def test_request_that_is_served_after_a_crash_is_forgotten():
+    async def work(site):
+        await site.call(
+            site.hosts[0], 'POST', CRASH_PATH, b'b', attempt_id='first'
+        )
+        stop_crashing(site)
+        await curio.sleep(1.5)
+        response = await site.call(
+            site.hosts[0], 'POST', CRASH_PATH, b'b', attempt_id='second'
+        )
+        await wait_until(lambda: not site.store.find('crashes'))
+        return response.status
+
+    assert run_crashing_site(work) == 200
