Let the hosts that send most requests use the limits of targets

Cause: each host could make an equal part of the permit transactions, 4 a second with 89 hosts, but the owners of submissions send nearly all reward calls. Change: while the limits that a host knows add up to less than the part of the store's writes for permits, they bound the transactions; only beyond that has each host an equal part. Result: the new test failed before: one host got 398, 21 and 10 permits in 20 s of 600 with 10, 195 and 390 hosts, now at least 540.

--- a/packages/policy/sequoia_policy/rates.py
+++ b/packages/policy/sequoia_policy/rates.py
@@ -52,13 +52,20 @@
             timedelta(seconds=reads / QUARANTINE_READS_PER_SECOND),
         )
 
-    def find_permit_rate(self, hosts: int) -> float:
-        """Return the permit transactions per second of one host.
+    def find_permit_rate(self, limits: float, hosts: int) -> float:
+        """Return the permit transactions per second that one host may make.
+
+        Usually a few hosts send most requests to limited targets. While the
+        limits are small, they bound the transactions of all hosts.
 
         Args:
+            limits: Requests per second that the limited targets take.
             hosts: Number of hosts; 0 if it is unknown.
         """
-        return self.writes * PERMIT_SHARE / (hosts or UNKNOWN_FLEET_SIZE)
+        total = self.writes * PERMIT_SHARE
+        if limits <= total:
+            return total
+        return total / (hosts or UNKNOWN_FLEET_SIZE)
 
     def find_heartbeat_interval(self, leases: int) -> timedelta:
         """Return the interval between two heartbeats of a lease holder."""
--- a/packages/policy/sequoia_policy/target_limits.py
+++ b/packages/policy/sequoia_policy/target_limits.py
@@ -45,6 +45,10 @@
             return None
         return limit
 
+    def sum_rates(self) -> float:
+        """Return the requests per second that all limited targets take."""
+        return sum(limit.per_second for limit in self.by_name.values())
+
     def record(
         self, registration: Registration, per_second: float, now: timedelta
     ) -> bool:
--- a/packages/rollouts/sequoia_rollouts/permits.py
+++ b/packages/rollouts/sequoia_rollouts/permits.py
@@ -270,8 +270,9 @@
         return self.unshared.take(name, limit.per_second, hosts, now)
 
     def _may_call_store(self) -> bool:
-        hosts = self.heartbeats.count_hosts()
-        self.budget.per_second = self.heartbeats.rates.find_permit_rate(hosts)
+        self.budget.per_second = self.heartbeats.rates.find_permit_rate(
+            self.limits.sum_rates(), self.heartbeats.count_hosts()
+        )
         return self.budget.try_acquire(self.clock.elapsed())
 
     def _apply_end(self, registration: Registration) -> None:
--- a/packages/rollouts/tests/test_permits.py
+++ b/packages/rollouts/tests/test_permits.py
@@ -157,6 +157,18 @@
     simulate(scenario, size, limit, seed).check_limit()
 
 
+@pytest.mark.parametrize('size', FLEET_SIZES)
+def test_one_host_that_sends_most_requests_may_use_the_limit(size):
+    async def scenario(fleet):
+        fleet.hosts = fleet.hosts[:1]
+        await fleet.run(5, 80, Urgency.ROLLOUT)
+        before = fleet.sent
+        await fleet.run(20, 80, Urgency.ROLLOUT)
+        assert fleet.sent - before >= 30 * 20 * 0.9
+
+    simulate(scenario, size, 30, 1).check_limit()
+
+
 @pytest.mark.parametrize('size', FLEET_SIZES)
 @pytest.mark.parametrize('seed', range(3))
 def test_limit_holds_while_store_is_down_for_all_or_some(size, seed):
