Split the queues and the rows of permits off their taker

Change: permit_queues, permit_rows; FleetView in the simulation. Result: 99 tests of permits, limits, quarantines and coordination passed.

--- a/packages/rollouts/sequoia_rollouts/permits.py
+++ b/packages/rollouts/sequoia_rollouts/permits.py
@@ -1,13 +1,10 @@
 """Takes permits for requests to targets that have named a limit."""
 
 import random
-from collections import Counter
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from datetime import timedelta
 
 import curio
-from attrs import define, field, frozen
+from attrs import define, field
 from sequoia_policy.budgets import RateLimit
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
@@ -19,30 +16,15 @@
 )
 from sequoia_policy.rates import UNKNOWN_FLEET_SIZE
 from sequoia_policy.registries import RegisteredTarget, Registration
-from sequoia_policy.target_limits import (
-    FORGET_AFTER,
-    TargetLimit,
-    TargetLimits,
-)
+from sequoia_policy.target_limits import TargetLimit, TargetLimits
 from sequoia_policy.verdicts import Verdict
-from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.stores import (
-    ABSENT,
-    ConflictError,
-    Guard,
-    Row,
-    RowKey,
-    RowWrite,
-    Store,
-    Transaction,
-)
-from sequoia_rollouts.tables import find_partition
+from sequoia_rollouts.permit_queues import PermitQueue
+from sequoia_rollouts.permit_rows import PermitRows, make_key
+from sequoia_rollouts.stores import RowKey, Store
 
-TABLE = 'permits'
-STORE_TIMEOUT = timedelta(milliseconds=150)
 STORE_BACKOFF = timedelta(seconds=1)
 MAX_CONFLICTS = 4  # of one attempt to take permits
 CONFLICT_PAUSE = timedelta(milliseconds=40)
@@ -60,49 +42,6 @@
 )
 
 
-@frozen
-class StoredPermits:
-    """The stored state of a target's permits, as this host last knew it."""
-
-    version: int = ABSENT
-    state: PermitState | None = None
-
-
-@define(eq=False)
-class PermitQueue:
-    """The requests of this host that wait for permits of one target.
-
-    One of them at a time calls the store, and takes permits for all.
-
-    Attributes:
-        waiting: Number of waiting requests.
-        granted: Number of permits taken and not used.
-    """
-
-    lock: curio.Lock = field(factory=curio.Lock)
-    waiting: Counter[Urgency] = field(factory=Counter)
-    granted: Counter[Urgency] = field(factory=Counter)
-
-    @asynccontextmanager
-    async def join(self, urgency: Urgency) -> AsyncIterator[None]:
-        """Wait for the turn of a request."""
-        self.waiting[urgency] += 1
-        try:
-            async with self.lock:
-                yield
-        finally:
-            self.waiting[urgency] -= 1
-            if not self.waiting[urgency]:
-                self.granted[urgency] = 0
-
-    def use_granted(self, urgency: Urgency) -> bool:
-        """Use a permit that was taken for the waiting requests, if any."""
-        if not self.granted[urgency]:
-            return False
-        self.granted[urgency] -= 1
-        return True
-
-
 @define(eq=False)
 class PermitTaker:
     """Lets requests to limited targets pass at the rate that these name.
@@ -111,7 +50,7 @@
 
     Attributes:
         limits: Limits named in responses to this host.
-        stored: Stored states by key of their row.
+        rows: The stored permits.
         queues: Waiting requests by name of the target.
         store_retry_at: When to call the store again after it failed.
         budget: Limits the transactions of this host.
@@ -122,14 +61,15 @@
     heartbeats: HeartbeatService
     rng: random.Random
     limits: TargetLimits = field(factory=TargetLimits)
-    stored: dict[RowKey, StoredPermits] = field(factory=dict)
     queues: dict[str, PermitQueue] = field(factory=dict)
     store_retry_at: timedelta = timedelta()
     budget: RateLimit = field(factory=lambda: RateLimit(1, BUDGET_BURST))
+    rows: PermitRows = field(init=False)
     unshared: UnsharedPermits = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the state for the time without the store."""
+        """Create the stored permits, and those without the store."""
+        self.rows = PermitRows(self.store)
         self.unshared = UnsharedPermits(self.rng)
 
     async def acquire(self, target: RegisteredTarget, urgency: Urgency) -> None:
@@ -216,7 +156,8 @@
             if not self._may_call_store():
                 return BUDGET_PAUSE
             count = min(free, queue.waiting[urgency])
-            if await self._try_store(key, state.take(count, now)):
+            if await self.rows.write(key, state.take(count, now)):
+                self.unshared.next_at.clear()
                 queue.granted[urgency] = count - 1
                 return NO_WAIT
         return CONFLICT_PAUSE * (1 + self.rng.random())
@@ -225,28 +166,7 @@
         """Return the state that follows from the responses and the store."""
         offset = self.heartbeats.store_now() - self.clock.elapsed()
         own = PermitState(limit.per_second, limit.named_at + offset)
-        return own.merge(self.stored.get(key, StoredPermits()).state)
-
-    async def _try_store(self, key: RowKey, state: PermitState) -> bool:
-        """Store a state; return False if another host has changed it.
-
-        Raises:
-            ServiceError: If the store does not accept the write.
-            curio.TaskTimeout: If it does not respond.
-        """
-        known = self.stored.get(key, StoredPermits())
-        transaction = Transaction(
-            (RowWrite(key, encode(state)),), (Guard(key, known.version),)
-        )
-        try:
-            async with curio.timeout_after(STORE_TIMEOUT.total_seconds()):
-                version = await self.store.commit(transaction)
-        except ConflictError as conflict:
-            self.stored[key] = read_stored(conflict.find(key))
-            return False
-        self.stored[key] = StoredPermits(version, state)
-        self.unshared.next_at.clear()
-        return True
+        return own.merge(self.rows.find(key))
 
     async def _store_end(self, registration: Registration) -> None:
         """Store that a limit has ended, unless it was named again."""
@@ -254,11 +174,11 @@
         now = self.heartbeats.store_now()
         ended = PermitState(0, now)
         for _ in range(MAX_CONFLICTS):
-            known = self.stored.get(key, StoredPermits())
-            if known.state and known.state.named_at >= now:
+            known = self.rows.find(key)
+            if known and known.named_at >= now:
                 return
             try:
-                if await self._try_store(key, ended.merge(known.state)):
+                if await self.rows.write(key, ended.merge(known)):
                     return
             except (ServiceError, curio.TaskTimeout) as failure:
                 self._record_store_failure(registration.name, str(failure))
@@ -282,30 +202,3 @@
     def _record_store_failure(self, name: str, detail: str) -> None:
         self.store_retry_at = self.clock.elapsed() + STORE_BACKOFF
         PERMITS_NOT_SHARED.write(target=name, detail=detail)
-
-
-def make_key(registration: Registration) -> RowKey:
-    """Return the key of the permits of one process of a target."""
-    name = f'{registration.name}/{registration.started_at}'
-    return RowKey(TABLE, find_partition(name), name)
-
-
-def read_stored(row: Row | None) -> StoredPermits:
-    """Decode a stored state; a row that cannot be decoded is replaced."""
-    if row is None or row.body is None:
-        return StoredPermits()
-    try:
-        return StoredPermits(row.version, decode(row.body, PermitState))
-    except ServiceError as failure:
-        PERMITS_NOT_SHARED.write(target=row.key.key, detail=failure.detail)
-        return StoredPermits(row.version)
-
-
-def is_outdated(row: Row, now: timedelta) -> bool:
-    """Return whether the limit of a row was last named long ago.
-
-    Raises:
-        ServiceError: If the row cannot be decoded.
-    """
-    state = decode(row.body or b'', PermitState)
-    return now - max(state.named_at, state.due_at) > FORGET_AFTER
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -15,7 +15,7 @@
     OwnershipTable,
     is_first,
 )
-from sequoia_rollouts import permits, quarantines
+from sequoia_rollouts import permit_rows, quarantines
 from sequoia_rollouts.partition_sweepers import (
     PartitionSweeper,
     make_row_sweeper,
@@ -65,7 +65,10 @@
         """Create the sweepers of single tables."""
         self.abandonments = make_abandonment_sweeper(self.store, self.ownership)
         self.permits = make_row_sweeper(
-            self.store, self.ownership, permits.TABLE, permits.is_outdated
+            self.store,
+            self.ownership,
+            permit_rows.TABLE,
+            permit_rows.is_outdated,
         )
         self.crashes = make_row_sweeper(
             self.store,
--- a/packages/rollouts/tests/fleet_simulation.py
+++ b/packages/rollouts/tests/fleet_simulation.py
@@ -11,6 +11,7 @@
 from attrs import define, field
 from sequoia_policy.coordinators import list_lease_names
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.rates import StoreRates
 from sequoia_policy.verdicts import Verdict
 from sequoia_rollouts.censuses import Census
 from sequoia_rollouts.heartbeats import HeartbeatService
@@ -102,6 +103,21 @@
             )
 
 
+@define(eq=False)
+class FleetView:
+    """What a host knows of its fleet, without coordination."""
+
+    clock: ManualClock
+    hosts: int
+    rates: StoreRates = StoreRates()
+
+    def store_now(self):
+        return self.clock.now
+
+    def count_hosts(self):
+        return self.hosts
+
+
 @define(eq=False)
 class SimulatedHost:
     """A host's coordination components and when each is due.
--- a/packages/rollouts/tests/test_crash_sharing.py
+++ b/packages/rollouts/tests/test_crash_sharing.py
@@ -6,9 +6,8 @@
 import curio
 import pytest
 from attrs import define, field
-from fleet_simulation import BoundedStore, ManualClock
+from fleet_simulation import BoundedStore, FleetView, ManualClock
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_policy.rates import StoreRates
 from sequoia_policy.registries import RegisteredTarget, Registration
 from sequoia_rollouts.live_attempts import LiveRequest
 from sequoia_rollouts.quarantines import Quarantine
@@ -30,21 +29,6 @@
 CRASH = ServiceError(Code.TARGET_BROKE, 'closed')
 
 
-@define(eq=False)
-class Heartbeats:
-    """What a quarantine needs to know of the fleet."""
-
-    clock: ManualClock
-    hosts: int
-    rates: StoreRates = StoreRates()
-
-    def store_now(self):
-        return self.clock.now
-
-    def count_hosts(self):
-        return self.hosts
-
-
 @define(eq=False)
 class Host:
     """A host and when it next reads what the others observed."""
@@ -73,7 +57,7 @@
         self.hosts = [self.make_host() for _ in range(self.size)]
 
     def make_host(self):
-        heartbeats = Heartbeats(self.clock, self.size)
+        heartbeats = FleetView(self.clock, self.size)
         quarantine = Quarantine(self.store, self.clock, heartbeats)
         delay = quarantine.follower.find_feed_interval() * self.rng.random()
         return Host(quarantine, self.clock.now + delay)
--- a/packages/rollouts/tests/test_permits.py
+++ b/packages/rollouts/tests/test_permits.py
@@ -7,10 +7,9 @@
 import curio
 import pytest
 from attrs import define, field
-from fleet_simulation import BoundedStore, ManualClock
+from fleet_simulation import BoundedStore, FleetView, ManualClock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.permits import Urgency
-from sequoia_policy.rates import StoreRates
 from sequoia_policy.registries import RegisteredTarget, Registration
 from sequoia_rollouts.permits import PermitTaker
 
@@ -24,21 +23,6 @@
 REGISTRATION = Registration('t1', 'app', '127.0.0.1:1', 'z1')
 
 
-@define(eq=False)
-class Heartbeats:
-    """What permits need to know of the fleet."""
-
-    clock: ManualClock
-    hosts: int
-    rates: StoreRates = StoreRates()
-
-    def store_now(self):
-        return self.clock.now
-
-    def count_hosts(self):
-        return self.hosts
-
-
 @define(eq=False)
 class ReachableStore:
     """A store that serves one host or turns it away.
@@ -100,7 +84,7 @@
 
     def make_host(self):
         store = ReachableStore(self.store)
-        heartbeats = Heartbeats(self.clock, self.size)
+        heartbeats = FleetView(self.clock, self.size)
         permits = PermitTaker(store, self.clock, heartbeats, self.rng)
         return Host(store, permits)
 
