Bound extreme limits, and take none from a response to another request

A limit of a million per second or more made the interval of permits zero and failed the request; a late copy of a response to another request could name or end a limit; the body of a live request was hashed up to three times while any request was suspected. Change: the interval has bounds; a response is checked first; the fingerprint is computed once. The event is called 'crash suspected', as a reset looks the same.

--- a/packages/policy/sequoia_policy/permits.py
+++ b/packages/policy/sequoia_policy/permits.py
@@ -13,6 +13,8 @@
 from attrs import define, evolve, field, frozen
 
 NO_WAIT = timedelta()
+MIN_INTERVAL = timedelta(microseconds=1)
+MAX_INTERVAL = 5.0  # seconds
 # Part of the limit that the hosts use while they cannot share a state. Some
 # hosts may still share one then, and use up the limit themselves.
 UNSHARED_PART = 0.5
@@ -62,7 +64,8 @@
     @property
     def interval(self) -> timedelta:
         """Time between two permits at the limit."""
-        return timedelta(seconds=1 / self.per_second)
+        interval = timedelta(seconds=min(MAX_INTERVAL, 1 / self.per_second))
+        return max(MIN_INTERVAL, interval)
 
     def count_free(self, urgency: Urgency, now: timedelta) -> int:
         """Return the number of permits that are free."""
--- a/packages/rollouts/sequoia_rollouts/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live_attempts.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from datetime import timedelta
+from functools import cached_property
 
 from attrs import define, field, frozen
 from sequoia_policy.errors import ServiceError
@@ -36,8 +37,9 @@
     time_limit: timedelta | None = None
     resume_after: str = ''
 
-    def find_fingerprint(self) -> str:
-        """Return a text that is the same for repetitions of the request.
+    @cached_property
+    def fingerprint(self) -> str:
+        """A text that is the same for repetitions of the request.
 
         Ids, deadlines and other headers differ between repetitions.
         """
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -99,7 +99,7 @@
         attempts.record_failure(target.name, failure)
         ATTEMPT_FAILED.write(
             request_id=attempts.request.outgoing.id,
-            fingerprint=attempts.request.find_fingerprint(),
+            fingerprint=attempts.request.fingerprint,
             target=target.name,
             code=failure.code.value.label,
             verdict=failure.verdict.value,
--- a/packages/rollouts/sequoia_rollouts/quarantines.py
+++ b/packages/rollouts/sequoia_rollouts/quarantines.py
@@ -43,8 +43,8 @@
 MAX_PENDING = 1000  # requests
 
 log = Log('live')
-TARGET_CRASHED = log.event(
-    'target crashed', 'request_id', 'fingerprint', 'target', 'crashes'
+CRASH_SUSPECTED = log.event(
+    'crash suspected', 'request_id', 'fingerprint', 'target', 'crashes'
 )
 REQUEST_QUARANTINED = log.event(
     'request quarantined', 'fingerprint', 'targets', 'seconds'
@@ -111,7 +111,7 @@
         if not record.is_dangerous:
             return
         now = self.heartbeats.store_now()
-        fingerprint = request.find_fingerprint()
+        fingerprint = request.fingerprint
         if not record.is_quarantined(now):
             if await self._try_write(fingerprint, record.try_again(now)):
                 return
@@ -146,7 +146,7 @@
             return
         if failure.verdict is not Verdict.MAY_HAVE_RUN:
             return
-        fingerprint = request.find_fingerprint()
+        fingerprint = request.fingerprint
         process = f'{target.name}/{target.registration.started_at}'
         pending = self.pending.pop(fingerprint, CrashRecord())
         if len(self.pending) >= MAX_PENDING:
@@ -156,7 +156,7 @@
         )
         if not self.follower.failed_within(STORE_BACKOFF):
             await self._share(fingerprint)
-        TARGET_CRASHED.write(
+        CRASH_SUSPECTED.write(
             request_id=request.outgoing.id,
             fingerprint=fingerprint,
             target=target.name,
@@ -167,7 +167,7 @@
         """Forget the crashes under a request that a target has served."""
         if not self.is_suspect(request):
             return
-        fingerprint = request.find_fingerprint()
+        fingerprint = request.fingerprint
         self.pending.pop(fingerprint, None)
         known = self.stored.get(fingerprint)
         if known is None or await self._try_write(fingerprint, None):
@@ -188,7 +188,7 @@
         """Return what is known of a request."""
         if not self.stored and not self.pending:
             return CrashRecord()
-        record = self._merge(request.find_fingerprint())
+        record = self._merge(request.fingerprint)
         if not record.is_dangerous:
             if record.ends_at <= self.heartbeats.store_now():
                 return CrashRecord()
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -180,9 +180,9 @@
         sent_at = self.clock.elapsed()
         response = await call.send(head, outgoing.body)
         received = self.dialect.read_labels(response)
-        await self._record_limit(target, response, received, sent_at)
         if received.request_id and received.request_id != outgoing.id:
             raise ServiceError(Code.WRONG_ANSWER, 'response to another request')
+        await self._record_limit(target, response, received, sent_at)
         if received.not_run:
             await call.read_body()  # keeps the connection reusable
             raise ServiceError(
--- a/packages/rollouts/tests/test_limits.py
+++ b/packages/rollouts/tests/test_limits.py
@@ -37,6 +37,17 @@
     assert lifted is None
 
 
+def test_response_to_another_request_names_no_limit():
+    async def main():
+        async with open_site() as site:
+            site.scorers[0].limit = '2.4'
+            site.scorers[0].wrong_ids = 9
+            await site.call(site.hosts[0], 'POST', '/once/a', attempt_id='r1')
+            return site.hosts[0].live.sender.permits.limits.by_name
+
+    assert not curio.run(main)
+
+
 def test_engine_names_limit_in_response_to_item():
     async def main():
         async with open_site(engines=1) as site:
