Review: end every process that a case has started

Cause: a soak built on the test bed started a host that ran already and lost the older process, which stayed after the run. The cases start no host twice.

--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -607,6 +607,7 @@
         self.name = name
         self.ip = ip
         self.process = None
+        self.processes = []  # all that were ever started
         self.log = bed.folder / f'{name}.log'
         self.settings = bed.folder / f'{name}.conf'
         fields = {
@@ -650,6 +651,8 @@
         environment['SEQUOIASHED_SETTINGS'] = str(self.settings)
         environment['PYTHONPATH'] = 'target/deps'
         environment['PYTHONDONTWRITEBYTECODE'] = '1'
+        if self.process and self.process.poll() is None:
+            raise CannotRunError(f'{self.name} runs already')
         with self.log.open('ab') as output:
             self.process = subprocess.Popen(
                 COMMAND,
@@ -659,6 +662,7 @@
                 stdout=output,
                 stderr=output,
             )
+        self.processes.append(self.process)
         self.bed.note(f'{self.name}: process starts')
 
     def signal(self, number):
@@ -839,13 +843,13 @@
         return 200, found
 
     async def close(self):
-        for host in self.hosts:
-            if host.process and host.process.poll() is None:
-                host.process.send_signal(signal.SIGCONT)
-                host.process.kill()
-        for host in self.hosts:
-            if host.process:
-                host.process.wait()
+        processes = [p for host in self.hosts for p in host.processes]
+        for process in processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in processes:
+            process.wait()
         for task in tuple(self.tasks):
             task.cancel()
         self.record.close()
