--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,7 +21,7 @@
 LOSS_SHARE = 0.17  # of the answers of the store
 LOSS_SECONDS = 4.5
 SEED = int(os.environ.get('SEED', '29'))
-ROUNDS = 12
+ROUNDS = 9
 CHANGES = 2  # of the manifest, in each round
 TRAINERS = 4  # that each change adds
 GROUPS, SIZE = 2, 4
