--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 # flake8: noqa
 """Items of a route that was just added are dead at a host with an old manifest.
 
-The operator adds rollout routes for four trainers at a time, and 0.4 s later
+The operator adds rollout routes for six trainers at a time, and 0.4 s later
 each of them submits its first step through its new route. In rounds of 4.5 s,
 with two such changes each, the store loses the answers that a generator of
 random numbers draws.
@@ -23,9 +23,9 @@
 SEED = int(os.environ.get('SEED', '29'))
 ROUNDS = 9
 CHANGES = 2  # of the manifest, in each round
-TRAINERS = 4  # that each change adds
+TRAINERS = 6  # that each change adds
 GROUPS, SIZE = 2, 4
-CHANGE_INTERVAL_S = 2.0
+CHANGE_INTERVAL_S = 2.0  # from one manifest to the next
 TRAINER_AFTER_S = 0.4  # from the manifest to the first step
 MAX_AGE_S = 40
 
@@ -69,6 +69,8 @@
 
 
 class Trial:
+    """One run of the case: its manifests, its trainers and what broke."""
+
     def __init__(self, bed, rng, routes, service, models):
         self.bed = bed
         self.rng = rng
@@ -80,6 +82,7 @@
         self.broken = []
 
     async def play_round(self):
+        """Lose answers for a while, with changes and steps; return the breaks."""
         bed = self.bed
         lost, answers = count_answers(bed)
         started = bed.now()
@@ -163,6 +166,7 @@
 
 
 def count_answers(bed):
+    """Return how many answers the store has lost, and how many it gave."""
     store = bed.store
     return sum(store.lost.values()), sum(store.answers.values())
 
