Judge accepted work by no configuration older than its acceptance

Cause: the owner of a submission takes "no such route here" for "route removed". Nothing told it under which configuration the submission had been accepted. A reward call through a new route and a process that has read no configuration at all ended items in the same way.

Evidence: the two reasons of a dead item shared one log line; they are two now, with the version that judged. In the case all were judged by an older version.

Change: the ownership row holds the version of the configuration at the acceptance, and a runner waits for it (policy/preconditions.py) before it dispatches, expires or gives up anything. The age of a step is compared with the route's limit as configured now.

Why it works: versions never go back within a process, so one wait at the start of a runner covers its items and their reward calls.

--- a/packages/policy/sequoia_policy/submissions.py
+++ b/packages/policy/sequoia_policy/submissions.py
@@ -109,6 +109,8 @@
         accepted: Time of acceptance by the clock of the table.
         min_version: Oldest weight version that may generate a token.
         newest_version: Newest named version at the time of acceptance.
+        configuration_version: Version of the configuration at that time; 0 if
+            unknown.
     """
 
     owner: str
@@ -119,6 +121,7 @@
     model: str = ''
     min_version: int = 0
     newest_version: int = 0
+    configuration_version: int = 0
 
 
 def find_allowed_staleness(steps: Iterable[Ownership], model: str) -> int:
--- a/packages/rollouts/sequoia_rollouts/runners.py
+++ b/packages/rollouts/sequoia_rollouts/runners.py
@@ -3,8 +3,9 @@
 from datetime import timedelta
 
 import curio
-from attrs import define, field
-from sequoia_policy.routing import Route
+from attrs import define, field, frozen
+from sequoia_policy.preconditions import may_judge_route
+from sequoia_policy.routing import Configuration, Route
 from sequoia_policy.submissions import Item, Submission, WorkQueue
 from sequoia_wire.logs import Log, LogKind
 
@@ -21,14 +22,35 @@
 SUBMISSION_WHOLE = log.event(
     'submission whole', 'submission', kind=LogKind.SUCCESS
 )
+WAITS_FOR_CONFIGURATION = log.event(
+    'waits for configuration',
+    'submission',
+    'accepted_under',
+    'config_version',
+    kind=LogKind.FAILURE,
+)
+
+
+@frozen
+class Acceptance:
+    """When and under what a submission was accepted.
+
+    Attributes:
+        time: Time of acceptance by the clock of this host.
+        configuration_version: Version of the configuration at that time.
+    """
+
+    time: timedelta
+    configuration_version: int = 0
 
 
 @define(eq=False)
 class SubmissionRunner:
     """Runs items until each has a result or this host loses the submission.
 
+    Nothing is judged by a configuration older than that of the acceptance.
+
     Attributes:
-        expires_at: When items that are still queued are marked dead.
         generations: Partial generations of items without a result, by item id.
         draining: Whether to start no further items.
     """
@@ -36,7 +58,7 @@
     dependencies: RunnerDependencies
     submission: Submission
     recorder: Recorder
-    expires_at: timedelta
+    acceptance: Acceptance
     generations: dict[str, Generation] = field(factory=dict)
     draining: bool = False
     queue: WorkQueue = field(init=False)
@@ -93,6 +115,7 @@
     async def _run_items(self, group: curio.TaskGroup) -> None:
         await group.spawn(supervise, self.recorder.run)
         await group.spawn(supervise, self.saver.run)
+        await self._wait_for_configuration()
         while not self.recorder.is_complete:
             item = None if self.draining else self.queue.pop()
             if item is None:
@@ -101,13 +124,29 @@
                 await self._dispatch(group, item)
         SUBMISSION_WHOLE.write(submission=self.submission.id)
 
+    async def _wait_for_configuration(self) -> None:
+        """Wait until this host has the configuration of the acceptance."""
+        accepted_under = self.acceptance.configuration_version
+        if not may_judge_route(self._configuration.version, accepted_under):
+            WAITS_FOR_CONFIGURATION.write(
+                submission=self.submission.id,
+                accepted_under=accepted_under,
+                config_version=self._configuration.version,
+            )
+        while not may_judge_route(self._configuration.version, accepted_under):
+            await curio.sleep(IDLE_POLL_INTERVAL.total_seconds())
+
     async def _dispatch(self, group: curio.TaskGroup, item: Item) -> None:
         route = self._find_route()
-        if route is None or self.dependencies.clock.elapsed() > self.expires_at:
+        if route is None:
+            version = self._configuration.version
             self.item_runner.mark_dead(
-                item, 'submission expired or route removed'
+                item, f'route removed in configuration {version}'
             )
             return
+        if self._is_expired(route):
+            self.item_runner.mark_dead(item, 'submission expired')
+            return
         requirements = EngineRequirements(
             route.choose_service(self.dependencies.rewards.rng),
             self.submission.model,
@@ -124,7 +163,15 @@
         )
         await curio.sleep(0)  # lets the run start and acquire its slot
 
+    @property
+    def _configuration(self) -> Configuration:
+        return self.dependencies.directory.configuration
+
     def _find_route(self) -> Route | None:
-        configuration = self.dependencies.directory.configuration
-        submission = self.submission
-        return configuration.find_route(submission.host, submission.path)
+        return self._configuration.find_route(
+            self.submission.host, self.submission.path
+        )
+
+    def _is_expired(self, route: Route) -> bool:
+        age = self.dependencies.clock.elapsed() - self.acceptance.time
+        return age > route.max_age
--- a/packages/rollouts/sequoia_rollouts/submissions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions.py
@@ -15,7 +15,7 @@
 from sequoia_rollouts.item_runs import RunnerDependencies
 from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
 from sequoia_rollouts.recorders import Recorder
-from sequoia_rollouts.runners import SubmissionRunner
+from sequoia_rollouts.runners import Acceptance, SubmissionRunner
 from sequoia_rollouts.stores import (
     Committer,
     ConflictError,
@@ -32,9 +32,6 @@
 
 END_TIMEOUT = timedelta(milliseconds=2500)
 RETRY_AFTER = timedelta(milliseconds=500)
-# Used when the route is no longer configured; equals the time for which callers
-# may read a submission.
-DEFAULT_MAX_AGE = timedelta(seconds=120)
 START_BACKOFF = timedelta(milliseconds=200)
 
 log = Log('submission')
@@ -168,17 +165,16 @@
             owned.version,
             list(stored.results),
         )
-        route = self.directory.configuration.find_route(
-            submission.host,
-            submission.path,
-        )
         age = stored.now - owned.ownership.accepted
-        max_age = route.max_age if route else DEFAULT_MAX_AGE
+        acceptance = Acceptance(
+            self.clock.elapsed() - age,
+            owned.ownership.configuration_version,
+        )
         runner = SubmissionRunner(
             self.dependencies,
             submission,
             recorder,
-            self.clock.elapsed() - age + max_age,
+            acceptance,
             stored.generations,
         )
         self.runners[submission.id] = runner
@@ -204,6 +200,7 @@
             model=submission.model,
             min_version=submission.min_version,
             newest_version=self.directory.newest_version(submission.model),
+            configuration_version=self.directory.configuration.version,
         )
         writer = AcceptanceWriter(
             self.clock,
--- a/packages/rollouts/tests/sites.py
+++ b/packages/rollouts/tests/sites.py
@@ -147,11 +147,14 @@
         return RolloutHost(settings, platform, SystemClock())
 
     async def start_host(self, name, wait_until_ready=True):
-        host = self.make_host(name)
+        return await self.run_host(self.make_host(name), wait_until_ready)
+
+    async def run_host(self, host, wait_until_ready=True):
+        """Start a host that was made before."""
         group = curio.TaskGroup(wait=None)
         await host.start(Ingress(host).handle, group)
         self.hosts.append(host)
-        self.groups[name] = group
+        self.groups[host.settings.name] = group
         if wait_until_ready:
             await wait_until(lambda: host.is_ready)
             await wait_until(host.heartbeats.holds_lease)
