Stop the work of a host that lost its lease once others own it

Cause: the ownership table was followed only by coordinators, so that losing the lease, which makes others adopt the work, also ended the reading that would have told of it; and the recorder took the conflict of its writes for a late answer of its own.

Evidence: the log has `lease lost` and then no change of owner, while `results wait` repeats with a conflict.

Change: a host follows the table while it owns anything; after the loss of its lease it sends no item before the owners were read again; a conflict of written results shows the owner; removed submissions end their runner, also when a listing after a gap shows that they are gone; the end of a removed submission is 404 instead of being tried without end. Adoption and takeover turns move to modules of their own.

--- a/packages/policy/sequoia_policy/preconditions.py
+++ b/packages/policy/sequoia_policy/preconditions.py
@@ -1,5 +1,7 @@
 """What a process must know before it does something that cannot be undone."""
 
+from datetime import timedelta
+
 FIRST_CONFIGURATION = 1  # version 0 means that none was read
 
 
@@ -14,3 +16,18 @@
         accepted_under: Version under which the work was accepted.
     """
     return configuration_version >= max(FIRST_CONFIGURATION, accepted_under)
+
+
+def is_read_since(lost_at: timedelta | None, read_at: timedelta | None) -> bool:
+    """Return whether the owners of work were read since a lease was lost.
+
+    Other hosts take over the work of a process without a lease, so that what
+    it knew before says nothing about the owner.
+
+    Args:
+        lost_at: When this process last lost its lease; None if never.
+        read_at: When the store last responded to a read of the owners.
+    """
+    if lost_at is None:
+        return True
+    return read_at is not None and read_at > lost_at
--- a/packages/rollouts/sequoia_rollouts/own_leases.py
+++ b/packages/rollouts/sequoia_rollouts/own_leases.py
@@ -23,6 +23,7 @@
         lease: The lease as last read or written; None if none is held.
         renewed_at: When the last heartbeat that the store accepted was sent;
             None without a lease.
+        lost_at: When a lease was last lost; None if never.
     """
 
     clock: Clock
@@ -31,6 +32,7 @@
     heartbeat: Heartbeat = field(init=False)
     lease: CoordinatorLease | None = None
     renewed_at: timedelta | None = None
+    lost_at: timedelta | None = None
 
     def __attrs_post_init__(self) -> None:
         """Create the heartbeat with a random id for this process."""
@@ -72,6 +74,7 @@
         LEASE_LOST.write(lease=self.lease.name, holder=holder)
         self.lease = None
         self.renewed_at = None
+        self.lost_at = self.clock.elapsed()
 
     def find_previous(
         self, leases: Iterable[CoordinatorLease]
--- a/packages/rollouts/sequoia_rollouts/ownership.py
+++ b/packages/rollouts/sequoia_rollouts/ownership.py
@@ -1,14 +1,13 @@
-"""Tracks the owners of submissions and duties; adopts unowned submissions."""
+"""Tracks the owners of submissions and duties."""
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
-import curio
 from attrs import define, evolve, field, frozen
 from sequoia_policy.choices import rank_names
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ServiceError
-from sequoia_policy.liveness import ADOPTION_STAGGER
+from sequoia_policy.preconditions import is_read_since
 from sequoia_policy.submissions import Ownership
 from sequoia_wire.logs import Log, LogKind
 
@@ -20,6 +19,7 @@
     ConflictError,
     Guard,
     Row,
+    RowRange,
     Store,
     Transaction,
 )
@@ -33,18 +33,14 @@
     submission_key,
     write_ownership,
 )
+from sequoia_rollouts.takeovers import TakeoverTurns
 
-ADOPTION_INTERVAL = timedelta(milliseconds=50)
 COMMIT_TIMEOUT = timedelta(milliseconds=1500)
 
 log = Log('owner')
-SUBMISSION_ADOPTED = log.event('submission adopted', 'submission', 'before')
 ROW_CANNOT_BE_READ = log.event(
     'row cannot be read', 'key', 'detail', kind=LogKind.FAILURE
 )
-NOT_ADOPTED = log.event(
-    'not adopted', 'submission', 'detail', kind=LogKind.FAILURE
-)
 
 
 @frozen
@@ -75,16 +71,16 @@
 
 @define
 class OwnershipTable:
-    """This host's copy of the ownership rows; adopts unowned submissions.
+    """This host's copy of the ownership rows.
 
-    Only coordinators follow the table. The other hosts know the submissions
-    that they accepted or read for a caller.
+    Coordinators follow the table, and so does a host that lost its lease until
+    others own its submissions. The other hosts know the submissions that they
+    accepted or read for a caller.
 
     Attributes:
         on_change: Called with each submission whose ownership changed.
         on_engine_note: Called with the name of an engine and its note.
-        unowned_since: When a submission or duty was first observed without a
-            live owner, by submission id or name of the duty.
+        turns: Whether it is this host's turn to take over work.
     """
 
     store: Store
@@ -94,11 +90,12 @@
     on_engine_note: Callable[[str, EngineNote], None]
     submissions: dict[str, OwnedSubmission] = field(factory=dict)
     duties: dict[str, OwnedDuty] = field(factory=dict)
-    unowned_since: dict[str, timedelta] = field(factory=dict)
+    turns: TakeoverTurns = field(init=False)
     follower: TableFollower = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the follower of the ownership table."""
+        self.turns = TakeoverTurns(self.clock, self.heartbeats)
         self.follower = TableFollower(
             self.store,
             self.clock,
@@ -107,15 +104,59 @@
             self._apply_row,
             self.heartbeats.find_feed_interval,
             PARTITIONS,
-            is_active=lambda: self.heartbeats.is_coordinator,
+            is_active=self.is_needed,
+        )
+
+    def is_needed(self) -> bool:
+        """Return whether this host follows the table."""
+        return self.heartbeats.is_coordinator or any(
+            self.is_owned_here(submission_id)
+            for submission_id in self.submissions
+        )
+
+    def is_owned_here(self, submission_id: str) -> bool:
+        """Return whether this host owns a submission that is not ended."""
+        owned = self.submissions.get(submission_id)
+        if owned is None or owned.ownership.ended:
+            return False
+        return owned.ownership.owner == self.heartbeats.owner
+
+    def is_confirmed(self) -> bool:
+        """Return whether the owners were read since the lease was lost."""
+        return is_read_since(
+            self.heartbeats.own.lost_at, self.follower.store_responded_at
         )
 
-    async def run_adoption(self) -> None:
-        """Adopt submissions without a live owner until cancelled."""
-        while True:
-            await curio.sleep(ADOPTION_INTERVAL.total_seconds())
-            for submission_id in self._find_adoptable():
-                await self._adopt(submission_id)
+    async def read(self, submission_id: str) -> OwnedSubmission | None:
+        """Read a submission's ownership from the store, None if it has none.
+
+        Raises:
+            ServiceError: If the store does not respond.
+        """
+        key = submission_key(submission_id)
+        page = await self.store.read(
+            RowRange(key.table, key.part, key.key, f'{key.key}\0')
+        )
+        for row in page.rows:
+            await self._apply_row(row)
+        known = self.submissions.get(submission_id)
+        if known and not page.rows and known.version <= page.version:
+            await self._forget(submission_id)
+        return self.submissions.get(submission_id)
+
+    async def resolve_conflict(
+        self, submission_id: str, conflict: ConflictError
+    ) -> OwnedSubmission | None:
+        """Return the ownership after a failed transaction, None if there is none.
+
+        Raises:
+            ServiceError: If the store does not respond.
+        """
+        row = conflict.find(submission_key(submission_id))
+        if row is None:
+            return await self.read(submission_id)
+        await self._apply_row(row)
+        return self.submissions.get(submission_id)
 
     async def record(self, owned: OwnedSubmission) -> None:
         """Record an ownership that this host has read or written.
@@ -136,7 +177,27 @@
         """
         known = self.submissions[submission_id]
         if known.ownership.owner == self.heartbeats.owner:
-            await self._change_owner(known, '')
+            await self.change_owner(known, '')
+
+    async def change_owner(self, owned: OwnedSubmission, owner: str) -> bool:
+        """Write a new owner; return whether that took effect.
+
+        Raises:
+            ServiceError: If the store does not respond.
+        """
+        ownership = evolve(owned.ownership, owner=owner)
+        transaction = Transaction(
+            (write_ownership(owned.id, ownership),),
+            (Guard(submission_key(owned.id), owned.version),),
+        )
+        committer = Committer(self.store, self.clock)
+        try:
+            version = await committer.commit(transaction, COMMIT_TIMEOUT)
+        except ConflictError as conflict:
+            await self.resolve_conflict(owned.id, conflict)
+            return False
+        await self.record(OwnedSubmission(owned.id, ownership, version))
+        return True
 
     def choose_owner(self, key: str) -> str:
         """Return the live coordinator that should own work with this key.
@@ -167,28 +228,13 @@
         if known is None or known.version < duty.version:
             self.duties[duty.name] = duty
 
-    def is_unowned(self, owner: str) -> bool:
-        """Return whether ``owner`` is empty or dead."""
-        return not owner or self.heartbeats.is_dead(owner)
-
-    def has_takeover_turn(self, name: str) -> bool:
-        """Return whether this host should take over unowned work now.
-
-        Hosts are ranked by rendezvous hashing of its name, and each rank
-        waits one ADOPTION_STAGGER longer: the first host acts at once and the
-        others act only if it does not.
-        """
-        if not self.heartbeats.holds_lease() or self.heartbeats.is_draining:
-            return False
-        now = self.clock.elapsed()
-        since = self.unowned_since.setdefault(name, now)
-        ranked = rank_names(name, self.heartbeats.live_owners())
-        rank = ranked.index(self.heartbeats.owner)
-        return now - since >= ADOPTION_STAGGER * rank
-
     async def _apply_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             await self._apply_row(row)
+        listed = {row.key for row in rows}
+        for submission_id in tuple(self.submissions):
+            if submission_key(submission_id) not in listed:
+                await self.read(submission_id)
 
     async def _apply_row(self, row: Row) -> None:
         try:
@@ -214,55 +260,19 @@
         elif name.startswith(SUBMISSION_PREFIX):
             submission_id = name.removeprefix(SUBMISSION_PREFIX)
             if row.body is None:
-                self.submissions.pop(submission_id, None)
+                await self._forget(submission_id)
                 return
             ownership = read_ownership(row.body)
             await self.record(
                 OwnedSubmission(submission_id, ownership, row.version),
             )
 
-    def _find_adoptable(self) -> list[str]:
-        adoptable = []
-        for submission_id, owned in self.submissions.items():
-            unowned = self.is_unowned(owned.ownership.owner)
-            if owned.ownership.ended or not unowned:
-                self.unowned_since.pop(submission_id, None)
-            elif self.has_takeover_turn(submission_id):
-                adoptable.append(submission_id)
-        return adoptable
-
-    async def _adopt(self, submission_id: str) -> None:
-        owned = self.submissions[submission_id]
-        try:
-            changed = await self._change_owner(owned, self.heartbeats.owner)
-        except ServiceError as failure:
-            NOT_ADOPTED.write(submission=submission_id, detail=failure.detail)
-            return
-        if changed:
-            SUBMISSION_ADOPTED.write(
-                submission=submission_id,
-                before=owned.ownership.owner,
-            )
-
-    async def _change_owner(self, owned: OwnedSubmission, owner: str) -> bool:
-        """Write a new owner; return whether that took effect."""
-        ownership = evolve(owned.ownership, owner=owner)
-        transaction = Transaction(
-            (write_ownership(owned.id, ownership),),
-            (Guard(submission_key(owned.id), owned.version),),
-        )
-        committer = Committer(self.store, self.clock)
-        try:
-            version = await committer.commit(transaction, COMMIT_TIMEOUT)
-        except ConflictError as conflict:
-            await self._apply_conflict(conflict)
-            return False
-        await self.record(OwnedSubmission(owned.id, ownership, version))
-        return True
-
-    async def _apply_conflict(self, conflict: ConflictError) -> None:
-        for row in conflict.rows:
-            await self._apply_row(row)
+    async def _forget(self, submission_id: str) -> None:
+        """Forget a submission whose rows were removed, and end its work."""
+        owned = self.submissions.pop(submission_id, None)
+        if owned:
+            ended = evolve(owned.ownership, ended=True)
+            await self.on_change(evolve(owned, ownership=ended))
 
 
 def is_first(ownership: OwnershipTable, key: str) -> bool:
--- a/packages/rollouts/sequoia_rollouts/recorders.py
+++ b/packages/rollouts/sequoia_rollouts/recorders.py
@@ -1,5 +1,6 @@
 """Writes the results of a submission, each at its own position."""
 
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import curio
@@ -50,6 +51,7 @@
 
     Attributes:
         version: Version of the row that names this host as owner.
+        on_conflict: Learns from a failed write who owns the submission.
         stored: Results in the store, by position.
         pending: Results that are not written yet.
         waiters: Events that are set when further results are stored.
@@ -58,6 +60,7 @@
     committer: Committer
     submission: Submission
     version: int
+    on_conflict: Callable[[str, ConflictError], Awaitable[object]]
     stored: list[ItemResult] = field(factory=list)
     pending: list[ItemResult] = field(factory=list)
     waiters: set[curio.Event] = field(factory=set)
@@ -121,6 +124,7 @@
         try:
             await self.committer.commit(transaction, COMMIT_TIMEOUT)
         except ConflictError as conflict:
+            await self.on_conflict(self.submission.id, conflict)
             await self._catch_up()
             raise ServiceError(Code.STORE_CONFLICT, str(conflict)) from conflict
 
--- a/packages/rollouts/sequoia_rollouts/runners.py
+++ b/packages/rollouts/sequoia_rollouts/runners.py
@@ -1,5 +1,6 @@
 """Runs a submission that this host owns."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import curio
@@ -52,6 +53,8 @@
 
     Attributes:
         generations: Partial generations of items without a result, by item id.
+        is_confirmed: Returns whether no other host may have taken over since
+            this one knew that it owned the submission.
         draining: Whether to start no further items.
     """
 
@@ -60,6 +63,7 @@
     recorder: Recorder
     acceptance: Acceptance
     generations: dict[str, Generation] = field(factory=dict)
+    is_confirmed: Callable[[], bool] = lambda: True
     draining: bool = False
     queue: WorkQueue = field(init=False)
     item_runner: ItemRunner = field(init=False)
@@ -112,12 +116,17 @@
         """Whether no item runs and no result waits to be written."""
         return not self.item_runner.active and not self.recorder.pending
 
+    @property
+    def may_dispatch(self) -> bool:
+        """Whether to send further items."""
+        return not self.draining and self.is_confirmed()
+
     async def _run_items(self, group: curio.TaskGroup) -> None:
         await group.spawn(supervise, self.recorder.run)
         await group.spawn(supervise, self.saver.run)
         await self._wait_for_configuration()
         while not self.recorder.is_complete:
-            item = None if self.draining else self.queue.pop()
+            item = self.queue.pop() if self.may_dispatch else None
             if item is None:
                 await curio.sleep(IDLE_POLL_INTERVAL.total_seconds())
             else:
--- a/packages/rollouts/sequoia_rollouts/submissions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions.py
@@ -1,5 +1,6 @@
 """Accepts submissions, runs those of this host, and ends them."""
 
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import curio
@@ -10,6 +11,7 @@
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.acceptances import ACCEPT_TIMEOUT, AcceptanceWriter
+from sequoia_rollouts.adoptions import Adopter
 from sequoia_rollouts.archives import Archive, StoredSubmission
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.item_runs import RunnerDependencies
@@ -20,7 +22,6 @@
     Committer,
     ConflictError,
     Guard,
-    RowRange,
     Store,
     Transaction,
 )
@@ -66,6 +67,11 @@
         """Create the archive on the same store."""
         self.archive = Archive(self.store)
 
+    @property
+    def loops(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        """What must run for submissions to change hosts."""
+        return self.ownership.follower.run, Adopter(self.ownership).run
+
     async def accept(self, submission: Submission) -> None:
         """Store a submission; return once it is durable.
 
@@ -103,13 +109,7 @@
         known = self.ownership.submissions.get(submission_id)
         if known:
             return known
-        key = submission_key(submission_id)
-        page = await self.store.read(
-            RowRange(key.table, key.part, key.key, f'{key.key}\0'),
-        )
-        for row in page.rows:
-            await self.ownership.follower.on_change(row)
-        known = self.ownership.submissions.get(submission_id)
+        known = await self.ownership.read(submission_id)
         if known is None:
             raise ServiceError(Code.UNKNOWN_STEP, submission_id)
         return known
@@ -142,7 +142,7 @@
             Whether the start is finished; False if the store could not be
             read, so that the start must be retried.
         """
-        if not self._is_owned_here(submission_id):
+        if not self.ownership.is_owned_here(submission_id):
             return True
         try:
             stored = await self.archive.read_stored_submission(submission_id)
@@ -152,7 +152,7 @@
                 detail=failure.detail,
             )
             return False
-        if self._is_owned_here(submission_id):
+        if self.ownership.is_owned_here(submission_id):
             await self._run(stored)
         return True
 
@@ -163,6 +163,7 @@
             Committer(self.store, self.clock),
             submission,
             owned.version,
+            self.ownership.resolve_conflict,
             list(stored.results),
         )
         age = stored.now - owned.ownership.accepted
@@ -176,16 +177,11 @@
             recorder,
             acceptance,
             stored.generations,
+            is_confirmed=self.ownership.is_confirmed,
         )
         self.runners[submission.id] = runner
         await runner.start()
 
-    def _is_owned_here(self, submission_id: str) -> bool:
-        owned = self.ownership.submissions.get(submission_id)
-        if owned is None or owned.ownership.ended:
-            return False
-        return owned.ownership.owner == self.ownership.heartbeats.owner
-
     async def _store_submission(
         self, submission: Submission
     ) -> OwnedSubmission | None:
@@ -230,9 +226,10 @@
         try:
             version = await committer.commit(transaction, remaining)
         except ConflictError as conflict:
-            for row in conflict.rows:
-                await self.ownership.follower.on_change(row)
-            return self.ownership.submissions[owned.id]
+            known = await self.ownership.resolve_conflict(owned.id, conflict)
+            if known is None:
+                raise ServiceError(Code.UNKNOWN_STEP, owned.id) from conflict
+            return known
         changed = OwnedSubmission(owned.id, ended, version)
         await self.ownership.record(changed)
         SUBMISSION_ENDED.write(submission=owned.id)
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -121,10 +121,11 @@
     async def _acquire_if_unowned(self, owned: OwnedDuty | None) -> None:
         if self.ownership.follower.version is None:
             return
-        if owned and not self.ownership.is_unowned(owned.owner):
-            self.ownership.unowned_since.pop(self.duty, None)
+        turns = self.ownership.turns
+        if owned and not turns.is_unowned(owned.owner):
+            turns.record_owned(self.duty)
             return
-        if not self.ownership.has_takeover_turn(self.duty):
+        if not turns.has_come(self.duty):
             return
         try:
             await self._acquire(owned)
