Judge streams by whether they continue what was received

Reported by other operators: after a stream had broken off, clients found the text of the next engine's error in the middle of it, or it ended as if it were complete. It could happen here, for live streams and for items: an event without an id was taken for a comment, the end of an answer for the end of the stream, and items compared no ids and wanted no signature. An item was listed as completed with a cut text, or with its first event twice.

Change: stream_checks.py judges heads, events and ends for both. A stream is signed and has the type of an event stream if it names one; an event has a greater id or is a comment; a resumed answer without events completes a stream only if it has a length.

Why it works: an error inside a success has no next id, whatever its form, so it ends the attempt like any other failure, before anything of it is forwarded.

--- a/packages/rollouts/sequoia_rollouts/events.py
+++ b/packages/rollouts/sequoia_rollouts/events.py
@@ -8,6 +8,7 @@
 END_OF_EVENT = re.compile(rb'\r?\n\r?\n')
 MAX_END_BYTES = 4  # of END_OF_EVENT
 MAX_EVENT_BYTES = 1024 * 1024
+COMMENT_FIELDS = frozenset(('', 'retry'))  # a comment has an empty name
 
 
 @frozen
@@ -19,12 +20,14 @@
         text: Lines of the data fields, joined by newlines.
         version: Weight version starting with this event; None if unchanged.
         raw: Received bytes, including the blank line at the end.
+        is_comment: Whether it holds comments and retry fields only.
     """
 
     id: str
     text: str
     version: int | None = None
     raw: bytes = field(default=b'', eq=False, repr=False)
+    is_comment: bool = field(default=False, eq=False)
 
 
 @define
@@ -64,19 +67,22 @@
         return not self.pending.strip()
 
     def _read(self, raw: bytes) -> StreamEvent:
-        event_id = ''
-        texts = []
-        version = None
-        for line in raw.decode().split('\n'):
-            name, _colon, padded = line.rstrip('\r').partition(':')
-            content = padded.removeprefix(' ')
-            if name == 'id':
-                event_id = content
-            elif name == 'data':
-                texts.append(content)
-            elif name == self.version_field:
-                version = parse_version(content)
-        return StreamEvent(event_id, '\n'.join(texts), version, raw)
+        fields = [split_field(line) for line in raw.decode().split('\n')]
+        last_contents = dict(fields)
+        version = last_contents.get(self.version_field)
+        return StreamEvent(
+            last_contents.get('id', ''),
+            '\n'.join(content for name, content in fields if name == 'data'),
+            None if version is None else parse_version(version),
+            raw,
+            last_contents.keys() <= COMMENT_FIELDS,
+        )
+
+
+def split_field(line: str) -> tuple[str, str]:
+    """Return the name and the content of a line; comments have no name."""
+    name, _colon, padded = line.rstrip('\r').partition(':')
+    return name, padded.removeprefix(' ')
 
 
 def parse_version(text: str) -> int:
--- a/packages/rollouts/sequoia_rollouts/generations.py
+++ b/packages/rollouts/sequoia_rollouts/generations.py
@@ -22,6 +22,12 @@
     find_gap_timeout,
 )
 from sequoia_rollouts.senders import CONNECT_TIMEOUT, OutgoingRequest, Sender
+from sequoia_rollouts.stream_checks import (
+    check_end,
+    check_event,
+    check_head,
+    read_events,
+)
 
 FIRST_EVENT_TIMEOUT = timedelta(seconds=3)
 START_TIMEOUT = FIRST_EVENT_TIMEOUT * 2  # for a response that is no stream
@@ -147,15 +153,20 @@
         async with self.sender.open(target, Urgency.ROLLOUT) as call:
             call.timeouts = Timeouts(CONNECT_TIMEOUT, FIRST_EVENT_TIMEOUT)
             async with limit_call_time(call, START_TIMEOUT):
-                await self._start(call, generation, target)
-            await self._read_stream(call, generation, target)
+                head = await self._start(call, generation, target)
+            before = len(generation.events)
+            reader = EventReader(self.sender.dialect.version_field)
+            await self._read_stream(call, reader, generation, target)
+            received = len(generation.events) - before
+            check_end(head, reader, generation.last_event_id, received)
+            generation.done = True
 
     async def _start(
         self,
         call: Call,
         generation: Generation,
         target: RegisteredTarget,
-    ) -> None:
+    ) -> ResponseHead:
         labels = CallLabels(
             generation.item.id,
             target.name,
@@ -165,9 +176,11 @@
         head = await self.sender.start(call, target, outgoing, labels)
         if head.status != STATUS_OK:
             await self._raise_for_status(call, head)
-        version = self.sender.dialect.read_labels(head).version
-        if version is not None:
-            self._apply_version(generation, target, version)
+        received = self.sender.dialect.read_labels(head)
+        check_head(head, received)
+        if received.version is not None:
+            self._apply_version(generation, target, received.version)
+        return head
 
     async def _raise_for_status(self, call: Call, head: ResponseHead) -> None:
         """Raise the error for a response that is not a stream."""
@@ -197,10 +210,10 @@
     async def _read_stream(
         self,
         call: Call,
+        reader: EventReader,
         generation: Generation,
         target: RegisteredTarget,
     ) -> None:
-        reader = EventReader(self.sender.dialect.version_field)
         meter = PaceMeter(target, self.clock.elapsed())
         progress = StreamProgress(self.clock.elapsed())
         chunk = await self._read_chunk(call, target, progress)
@@ -213,9 +226,6 @@
                 if self.has_faster_engine(target):
                     raise RunEndedError(RunEnd.MOVED)
             chunk = await self._read_chunk(call, target, progress)
-        if not reader.at_event_boundary or not generation.events:
-            raise ServiceError(Code.TARGET_BROKE, 'event stream is incomplete')
-        generation.done = True
 
     async def _read_chunk(
         self, call: Call, target: RegisteredTarget, progress: StreamProgress
@@ -233,14 +243,11 @@
         generation: Generation,
         target: RegisteredTarget,
     ) -> None:
-        try:
-            events = reader.feed(chunk)
-        except ValueError as error:
-            raise ServiceError(Code.WRONG_ANSWER, 'malformed event') from error
-        for event in events:
+        for event in read_events(reader, chunk):
+            check_event(generation.last_event_id, event)
             if event.version is not None:
                 self._apply_version(generation, target, event.version)
-            if event.id:
+            if not event.is_comment:
                 generation.append_event(event, self.clock.elapsed())
 
     def _apply_version(
--- a/packages/rollouts/sequoia_rollouts/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live_streams.py
@@ -32,12 +32,13 @@
     Sender,
     strip_hop_by_hop_headers,
 )
-from sequoia_rollouts.streams import (
-    LiveStream,
-    StreamSegment,
-    check_event_order,
+from sequoia_rollouts.stream_checks import (
+    check_end,
+    check_event,
+    check_head,
     read_events,
 )
+from sequoia_rollouts.streams import LiveStream, StreamSegment
 
 OK = 200
 MIN_ERROR_STATUS = 500
@@ -186,10 +187,7 @@
         self, stream: LiveStream, segment: StreamSegment
     ) -> None:
         labels = self.sender.dialect.read_labels(segment.head)
-        if not labels.is_signed:
-            raise ServiceError(
-                Code.WRONG_ANSWER, 'response has no signature or request id'
-            )
+        check_head(segment.head, labels)
         chunk = await segment.call.read_chunk()
         while chunk:
             before = stream.events
@@ -202,8 +200,9 @@
                 self._find_gap_timeout(stream, segment),
             )
             chunk = await segment.call.read_chunk()
-        if not segment.reader.at_event_boundary or not stream.last_event_id:
-            raise ServiceError(Code.TARGET_BROKE, 'event stream is incomplete')
+        check_end(
+            segment.head, segment.reader, stream.last_event_id, segment.events
+        )
         await self._send(stream, segment, b'')
         await stream.sink.finish()
         stream.done = True
@@ -230,10 +229,10 @@
         segment: StreamSegment,
         event: StreamEvent,
     ) -> None:
-        if not event.id:
+        check_event(stream.last_event_id, event)
+        if event.is_comment:
             await self._send(stream, segment, event.raw)
             return
-        check_event_order(stream.last_event_id, event.id)
         raw = event.raw
         if event.version is not None:
             segment.version = event.version
@@ -245,6 +244,7 @@
         stream.last_event_id = event.id
         stream.version = segment.version
         stream.events += 1
+        segment.events += 1
         if stream.first_event is None:
             arrived = stream.attempts.request.arrived
             stream.first_event = self.clock.elapsed() - arrived
--- a/packages/wire/sequoia_wire/messages.py
+++ b/packages/wire/sequoia_wire/messages.py
@@ -86,6 +86,14 @@
         """Return the value of the first header named ``name``, or None."""
         return find_header(self.headers, name)
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the body ends by itself, not with the connection."""
+        length = self.header('content-length')
+        return (
+            length is not None or self.header('transfer-encoding') is not None
+        )
+
 
 @frozen
 class Response:
