Send no new work to targets whose responses say that they leave

The header was read nowhere.

Change: the sender of requests and that of orders read it in each final response of the process that was asked. The registry keeps it by process, also while the registration is away, and RegisteredTarget.is_leaving judges both sources for all paths. A request whose target was chosen before, and which waited for a permit, is not sent but placed anew.

Why it works: all choices ask is_usable, and Sender.open is passed by all requests after the last wait.

--- a/packages/policy/sequoia_policy/registries.py
+++ b/packages/policy/sequoia_policy/registries.py
@@ -6,6 +6,7 @@
 from attrs import define, field, frozen
 
 from sequoia_policy.choices import rank_names
+from sequoia_policy.departures import Departures, TargetProcess
 from sequoia_policy.permits import Urgency
 
 MIN_BACKOFF = timedelta(milliseconds=250)
@@ -45,6 +46,11 @@
     leaving: bool = False
     versions: tuple[ModelVersion, ...] = ()
 
+    @property
+    def process(self) -> TargetProcess:
+        """The process of the target."""
+        return TargetProcess(self.name, self.started_at)
+
     def version_of(self, model: str) -> int | None:
         """Return the registered version of a model, None if there is none."""
         for loaded in self.versions:
@@ -68,6 +74,7 @@
         loading_until: Time until which the engine starts no new run, by
             model.
         no_permit_until: Time until which the target's limit leaves no permit.
+        said_leaving: Whether a response of this process said that it leaves.
     """
 
     registration: Registration
@@ -81,6 +88,7 @@
     newest_versions: dict[str, int] = field(factory=dict)
     loading_until: dict[str, timedelta] = field(factory=dict)
     no_permit_until: dict[Urgency, timedelta] = field(factory=dict)
+    said_leaving: bool = False
 
     @property
     def name(self) -> str:
@@ -92,9 +100,14 @@
         """Maximum number of concurrent requests, at least 1."""
         return max(1, self.registration.slots)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether its registration or a response says that it leaves."""
+        return self.registration.leaving or self.said_leaving
+
     def is_usable(self, now: timedelta) -> bool:
         """Return whether new work may be sent to the target."""
-        return not self.registration.leaving and now >= self.backoff_until
+        return not self.is_leaving and now >= self.backoff_until
 
     def may_have_permit(self, urgency: Urgency, now: timedelta) -> bool:
         """Return whether a request may find a permit, or needs none."""
@@ -180,6 +193,7 @@
         services: The same targets by service and name.
         rankings: Targets of a service in the order of a key, by both.
         expiring: Names of the targets within their grace period.
+        departures: Processes that said in a response that they leave.
     """
 
     targets: dict[str, RegisteredTarget] = field(factory=dict)
@@ -188,6 +202,7 @@
         factory=dict
     )
     expiring: set[str] = field(factory=set)
+    departures: Departures = field(factory=Departures)
 
     def register(self, registration: Registration) -> bool:
         """Apply a registration; return whether it changed anything."""
@@ -206,6 +221,17 @@
         self.expiring.discard(registration.name)
         return is_changed
 
+    def record_leaving(self, registration: Registration) -> bool:
+        """Record that a response said that its target leaves.
+
+        Returns:
+            Whether that is new.
+        """
+        known = self.targets.get(registration.name)
+        if known and known.registration.process == registration.process:
+            known.said_leaving = True
+        return self.departures.record(registration.process)
+
     def remove(self, name: str, now: timedelta, grace: timedelta) -> None:
         """Remove a target once ``grace`` has passed, at once if it is zero.
 
@@ -267,6 +293,8 @@
 
     def _add(self, target: RegisteredTarget) -> None:
         service = target.registration.service
+        process = target.registration.process
+        target.said_leaving = self.departures.includes(process)
         self.targets[target.name] = target
         self.services.setdefault(service, {})[target.name] = target
         self._forget_rankings(service)
--- a/packages/rollouts/sequoia_rollouts/dialects.py
+++ b/packages/rollouts/sequoia_rollouts/dialects.py
@@ -41,6 +41,7 @@
             stated.
         max_rate: Requests per second that the target takes from all hosts
             together; None if it names no limit.
+        leaving: Whether the target says that it leaves.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     not_run: bool = False
     version: int | None = None
     max_rate: float | None = None
+    leaving: bool = False
 
     @property
     def is_signed(self) -> bool:
--- a/packages/rollouts/sequoia_rollouts/directories.py
+++ b/packages/rollouts/sequoia_rollouts/directories.py
@@ -6,7 +6,11 @@
 
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
-from sequoia_policy.registries import Registration, TargetRegistry
+from sequoia_policy.registries import (
+    RegisteredTarget,
+    Registration,
+    TargetRegistry,
+)
 from sequoia_policy.routing import Configuration
 from sequoia_wire.logs import Log
 
@@ -29,6 +33,9 @@
 VERSION_NAMED = log.event('version named', 'model', 'version')
 TARGETS_LISTED = log.event('targets listed', 'count')
 TARGET_GONE = log.event('target gone', 'target')
+TARGET_SAYS_IT_LEAVES = log.event(
+    'target says it leaves', 'target', 'registered_leaving'
+)
 TARGET_REGISTERED = log.event('target registered', 'target', 'leaving')
 
 
@@ -124,6 +131,15 @@
         """Return the newest named version of a model."""
         return max(INITIAL_VERSION, self.versions.get(model, 0))
 
+    def record_leaving(self, target: RegisteredTarget) -> None:
+        """Record that a response of a target said that it leaves."""
+        target.said_leaving = True
+        if self.registry.record_leaving(target.registration):
+            TARGET_SAYS_IT_LEAVES.write(
+                target=target.name,
+                registered_leaving=target.registration.leaving,
+            )
+
     def apply_engine_note(self, name: str, note: EngineNote) -> None:
         """Apply the note of the host that sends orders to an engine."""
         target = self.registry.targets.get(name)
--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -115,7 +115,7 @@
         rng: Chooses targets, and the services of reward calls.
     """
     permits = PermitTaker(ownership.store, clock, ownership.heartbeats, rng)
-    sender = Sender(clock, dialect, permits)
+    sender = Sender(clock, dialect, permits, directory.record_leaving)
     placer = Placer(
         clock,
         directory,
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -138,7 +138,7 @@
         return [
             target
             for target in registered
-            if not target.registration.leaving
+            if not target.is_leaving
             and not target.unreachable
             and target.may_have_permit(Urgency.LIVE, now)
         ]
--- a/packages/rollouts/sequoia_rollouts/orders.py
+++ b/packages/rollouts/sequoia_rollouts/orders.py
@@ -86,7 +86,7 @@
         report = await self._read_report(target, desired)
         if report.version_of(desired.model) >= desired.version:
             return
-        if not report.busy and permit.is_valid():
+        if not report.busy and not target.is_leaving and permit.is_valid():
             await self._announce(target, desired, loading=True)
             await self._send_order(target, desired, permit, report)
         report = await self._wait_for_load(target, desired)
@@ -190,9 +190,11 @@
     ) -> Response:
         address = parse_address(target.registration.address)
         timeouts = Timeouts(CONNECT_TIMEOUT, CALL_TIMEOUT)
-        return await self.sender.client.fetch(
+        response = await self.sender.client.fetch(
             address,
             call.head,
             call.body,
             timeouts,
         )
+        self.sender.check_leaving(target, response.head)
+        return response
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -1,6 +1,6 @@
 """Sends one request to one target and reads its response."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from datetime import timedelta
 from typing import Protocol
@@ -91,11 +91,16 @@
 
 @define
 class Sender:
-    """Sends requests to targets."""
+    """Sends requests to targets.
+
+    Attributes:
+        record_leaving: Called with a target that says that it leaves.
+    """
 
     clock: Clock
     dialect: TargetDialect
     permits: Permits
+    record_leaving: Callable[[RegisteredTarget], None]
     client: HttpClient = field(factory=HttpClient)
 
     @asynccontextmanager
@@ -106,9 +111,15 @@
 
         Raises:
             ServiceError: With code TARGET_LIMITED if the target takes no
-                request now.
+                request now, with TARGET_REFUSED if it leaves.
         """
         await self.permits.acquire(target, urgency)
+        if target.is_leaving:
+            raise ServiceError(
+                Code.TARGET_REFUSED,
+                f'{target.name} leaves',
+                verdict=Verdict.NOT_RUN,
+            )
         address = parse_address(target.registration.address)
         timeouts = Timeouts(CONNECT_TIMEOUT, PROGRESS_TIMEOUT)
         async with self.client.call(address, timeouts) as call:
@@ -182,6 +193,7 @@
         received = self.dialect.read_labels(response)
         if received.request_id and received.request_id != outgoing.id:
             raise ServiceError(Code.WRONG_ANSWER, 'response to another request')
+        self.check_leaving(target, response)
         await self._record_limit(target, response, received, sent_at)
         if received.not_run:
             await call.read_body()  # keeps the connection reusable
@@ -194,6 +206,15 @@
             )
         return response
 
+    def check_leaving(
+        self, target: RegisteredTarget, response: ResponseHead
+    ) -> None:
+        """Record that a target leaves if its response says so."""
+        if response.status == MISDIRECTED_STATUS:
+            return  # another target responded
+        if self.dialect.read_labels(response).leaving:
+            self.record_leaving(target)
+
     async def _record_limit(
         self,
         target: RegisteredTarget,
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -11,6 +11,7 @@
 SERVICE = 'pool'
 SCORERS = 'app'
 MODEL = 'm0'
+LEAVING_HEADERS = encode_headers({'server-leaving': '1'})
 
 
 @define
@@ -24,6 +25,23 @@
     body: bytes
 
 
+@define
+class LeavingExchange:
+    """An exchange whose response says that the server leaves."""
+
+    exchange: object
+
+    def __getattr__(self, name):
+        return getattr(self.exchange, name)
+
+    async def respond(self, status, body=b'', headers=()):
+        headers = (*headers, *LEAVING_HEADERS)
+        await self.exchange.respond(status, body, headers)
+
+    async def start(self, status, headers=()):
+        await self.exchange.start(status, (*headers, *LEAVING_HEADERS))
+
+
 @define(eq=False)
 class EngineStandin:
     """A model engine that streams words, one per event.
@@ -41,6 +59,7 @@
         refuse: Number of requests to refuse as not run.
         unanswered_orders: Number of orders to execute without a response.
         wrong_ids: Number of responses to label with another request id.
+        leaving: Whether all answers say that the server leaves.
         limit: Requests per second that responses name as the limit; empty for
             none.
         received_at: When each request for this server arrived.
@@ -67,6 +86,7 @@
     unanswered_orders: int = 0
     wrong_ids: int = 0
     limit: str = ''
+    leaving: bool = False
     received_at: list = field(factory=list)
     crash_path: str = ''
     crashed_at: list = field(factory=list)
@@ -101,6 +121,8 @@
 
     async def handle(self, exchange):
         body = await exchange.read_body()
+        if self.leaving:
+            exchange = LeavingExchange(exchange)
         path = exchange.head.path
         expected_name = exchange.head.header('expect-instance')
         if expected_name and expected_name != self.name:
--- a/packages/rollouts/tests/test_stalls.py
+++ b/packages/rollouts/tests/test_stalls.py
@@ -143,9 +143,15 @@
     return await sender.fetch(target, outgoing, TIMEOUT, Urgency.LIVE)
 
 
+def make_sender():
+    return Sender(
+        SystemClock(), PlatformDialect(), NoLimits(), lambda target: None
+    )
+
+
 def test_a_late_copy_of_a_refusal_does_not_refuse_the_next_request():
     async def work(target):
-        sender = Sender(SystemClock(), PlatformDialect(), NoLimits())
+        sender = make_sender()
         with pytest.raises(ServiceError) as first:
             await fetch(sender, target, 'r1')
         with pytest.raises(ServiceError) as second:
@@ -169,7 +175,7 @@
 )
 def test_no_request_gets_the_response_to_another_one(extras):
     async def work(target):
-        sender = Sender(SystemClock(), PlatformDialect(), NoLimits())
+        sender = make_sender()
         for number, _extra in enumerate(extras):
             request_id = f'r{number}'
             try:
