Accept and remove nothing before the clock of the store is known

Cause: until the store's clock was read its offset was taken as zero, and an acceptance went on when that read had failed, so that the time of acceptance was that of the host's own clock.

Change: submissions are refused as not run until the clock was read; the sweeper removes nothing before, and judges by the clock in the responses of the store.

--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/heartbeats.py
@@ -70,7 +70,7 @@
         return self.own.heartbeat.draining
 
     def store_now(self) -> timedelta:
-        """Estimate the store's clock."""
+        """Estimate the store's clock; that of this host until it was read."""
         return self.clock.elapsed() + (self.store_clock_offset or timedelta())
 
     def find_feed_interval(self) -> timedelta:
--- a/packages/rollouts/sequoia_rollouts/submissions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions.py
@@ -7,7 +7,9 @@
 from attrs import define, evolve, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.preconditions import is_clock_known
 from sequoia_policy.submissions import Ownership, Submission
+from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.acceptances import ACCEPT_TIMEOUT, AcceptanceWriter
@@ -187,6 +189,13 @@
     ) -> OwnedSubmission | None:
         """Store a new submission; return None if it was already stored."""
         await self.ownership.heartbeats.refresh()
+        if not is_clock_known(self.ownership.heartbeats.store_clock_offset):
+            raise ServiceError(
+                Code.STORE_UNAVAILABLE,
+                'the clock of the store is not known',
+                verdict=Verdict.NOT_RUN,
+                retry_after=RETRY_AFTER,
+            )
         specification = write_specification(submission)
         ownership = Ownership(
             self.ownership.choose_owner(submission.model or submission.path),
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ServiceError
+from sequoia_policy.preconditions import is_clock_known
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.abandonments import make_abandonment_sweeper
@@ -94,19 +95,17 @@
 
     async def sweep(self) -> None:
         """Remove expired submissions."""
+        if not is_clock_known(self.ownership.heartbeats.store_clock_offset):
+            return
         for owned in tuple(self.ownership.submissions.values()):
-            if not self._is_expired(owned):
+            now = self.ownership.heartbeats.store_now()
+            if not is_expired(owned, now):
                 continue
             if is_first(self.ownership, owned.id):
                 await self._try_remove(owned)
             elif not self.ownership.heartbeats.is_coordinator:
                 self.ownership.submissions.pop(owned.id, None)
 
-    def _is_expired(self, owned: OwnedSubmission) -> bool:
-        age = self.ownership.heartbeats.store_now() - owned.ownership.accepted
-        retention = ENDED_RETENTION if owned.ownership.ended else OPEN_RETENTION
-        return age > retention
-
     async def _try_remove(self, owned: OwnedSubmission) -> None:
         try:
             await self._remove(owned)
@@ -114,7 +113,10 @@
             NOT_REMOVED.write(key=owned.id, detail=str(failure))
 
     async def _remove(self, owned: OwnedSubmission) -> None:
-        """Remove all rows of a submission, its ownership row last."""
+        """Remove all rows of a submission, its ownership row last.
+
+        Its age is judged by the clock of the store in each response.
+        """
         writes: list[RowWrite] = []
         for key_range in (
             progress_range(owned.id),
@@ -122,6 +124,8 @@
             specification_range(owned.id),
         ):
             page = await read_all(self.store, key_range)
+            if not is_expired(owned, page.now):
+                return
             writes.extend(RowWrite(row.key) for row in page.rows)
         for batch in split_writes(writes):
             await self.store.commit(Transaction(batch))
@@ -131,3 +135,14 @@
         )
         self.ownership.submissions.pop(owned.id, None)
         SUBMISSION_REMOVED.write(submission=owned.id, rows=len(writes))
+
+
+def is_expired(owned: OwnedSubmission, now: timedelta) -> bool:
+    """Return whether callers can no longer request a submission.
+
+    Args:
+        owned: The submission.
+        now: Time by the clock of the store.
+    """
+    retention = ENDED_RETENTION if owned.ownership.ended else OPEN_RETENTION
+    return now - owned.ownership.accepted > retention
