Set the wait of a new holder of orders before its write

Cause: the wait was set after the write of the duty had been answered; with the answer lost, the feed showed the new holder, which had no wait. A process of the same host never waited, and an order was not checked again after its announcement.

Change: the wait is set before the write and after every holder; the duty is checked once more before the order is sent.

--- a/packages/rollouts/sequoia_rollouts/orders.py
+++ b/packages/rollouts/sequoia_rollouts/orders.py
@@ -88,6 +88,8 @@
             return
         if not report.busy and not target.is_leaving and permit.is_valid():
             await self._announce(target, desired, loading=True)
+            if not permit.is_valid():
+                return  # lost while it was announced
             await self._send_order(target, desired, permit, report)
         report = await self._wait_for_load(target, desired)
         loaded = DesiredVersion(desired.model, report.version_of(desired.model))
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -135,16 +135,19 @@
     async def _acquire(self, owned: OwnedDuty | None) -> None:
         owner = self.ownership.heartbeats.owner
         version = owned.version if owned else ABSENT
-        if not await self._write(version, owner):
-            return
-        self.earliest_order_at = self.clock.elapsed()
-        if owned and not self._is_this_host(owned.owner):
-            self.earliest_order_at += self.order_lease + HANDOVER_MARGIN
-        DUTY_TAKEN.write(duty=self.duty, before=owned and owned.owner)
+        self.earliest_order_at = self._find_earliest_order(owned)
+        if await self._write(version, owner):
+            DUTY_TAKEN.write(duty=self.duty, before=owned and owned.owner)
+
+    def _find_earliest_order(self, owned: OwnedDuty | None) -> timedelta:
+        """Return when to order at the earliest if this host takes the duty now.
 
-    def _is_this_host(self, owner: str) -> bool:
-        host = self.ownership.heartbeats.own.host
-        return owner.rpartition('/')[0] == host
+        It is set before the write, whose response may be lost. The time also
+        passes after an earlier process of this host, which may have taken the
+        duty from another host a moment ago.
+        """
+        now = self.clock.elapsed()
+        return now + self.order_lease + HANDOVER_MARGIN if owned else now
 
     async def _write(self, version: int, owner: str) -> bool:
         """Write the duty's owner and return whether that took effect."""
