Send no request twice on one connection under its id

Cause: a request that had been refused was sent again under its id on the same kept connection, and took a late copy of its own refusal for the answer. While other servers were backed off one server was asked up to thirteen times within 20 ms.

Change: a connection carries each of the last 256 ids once; reports and orders, which bear no id, have connections of their own; the pause after a round of refusals follows as soon as no usable server is untried.

Why it works: an answer with the id of a request can then only be the answer to the one sending of it on that connection.

--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -112,11 +112,15 @@
     async def back_off(
         self, attempts: LiveAttempts, failure: ServiceError
     ) -> None:
-        """Wait after a refusal if no target of the service is untried."""
+        """Wait after a refusal if no usable target is untried.
+
+        Targets in backoff do not count: the others would be asked again and
+        again without a pause.
+        """
         if failure.code is not Code.TARGET_REFUSED:
             return
-        registered = self.directory.registry.find(attempts.service)
-        if {target.name for target in registered} <= attempts.tried:
+        usable = self._find_usable(attempts.service, self.clock.elapsed())
+        if {target.name for target in usable} <= attempts.tried:
             attempts.tried.clear()
             await curio.sleep(REFUSAL_BACKOFF.total_seconds())
 
--- a/packages/rollouts/sequoia_rollouts/orders.py
+++ b/packages/rollouts/sequoia_rollouts/orders.py
@@ -192,7 +192,7 @@
     ) -> Response:
         address = parse_address(target.registration.address)
         timeouts = Timeouts(CONNECT_TIMEOUT, CALL_TIMEOUT)
-        response = await self.sender.client.fetch(
+        response = await self.sender.control_client.fetch(
             address,
             call.head,
             call.body,
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -95,6 +95,9 @@
 
     Attributes:
         record_leaving: Called with a target that says that it leaves.
+        client: Sends requests, whose id identifies the response.
+        control_client: Sends reports and orders. They bear no id, so that each
+            has a connection of its own.
     """
 
     clock: Clock
@@ -102,6 +105,7 @@
     permits: Permits
     record_leaving: Callable[[RegisteredTarget], None]
     client: HttpClient = field(factory=HttpClient)
+    control_client: HttpClient = field(factory=lambda: HttpClient(idle_limit=0))
 
     @asynccontextmanager
     async def open(
@@ -189,7 +193,7 @@
             (*kept, *added),
         )
         sent_at = self.clock.elapsed()
-        response = await call.send(head, outgoing.body)
+        response = await call.send(head, outgoing.body, outgoing.id)
         received = self.dialect.read_labels(response)
         if received.request_id and received.request_id != outgoing.id:
             raise ServiceError(Code.WRONG_ANSWER, 'response to another request')
--- a/packages/rollouts/tests/test_stalls.py
+++ b/packages/rollouts/tests/test_stalls.py
@@ -15,7 +15,7 @@
 from sequoia_rollouts.events import MAX_EVENT_BYTES, EventReader
 from sequoia_rollouts.senders import OutgoingRequest, Sender
 from sequoia_wire.clocks import SystemClock
-from sequoia_wire.messages import RequestHead
+from sequoia_wire.messages import RequestHead, parse_address
 from sites import open_site, wait_until
 from test_streams import (
     change_idle_engines,
@@ -188,3 +188,81 @@
             assert labelled.response.body == f'body of {request_id}'.encode()
 
     curio.run(run_target, work, extras)
+
+
+def test_a_late_copy_of_a_refusal_does_not_refuse_the_same_request_again():
+    """A request that may run once was refused, sent again and ran twice."""
+
+    async def work(target):
+        sender = make_sender()
+        with pytest.raises(ServiceError) as refusal:
+            await fetch(sender, target, 'r1')
+        return refusal.value, await fetch(sender, target, 'r1')
+
+    refusal, labelled = curio.run(run_target, work, [(503, 'late')])
+    assert refusal.verdict is Verdict.NOT_RUN
+    assert labelled.response.status == 200
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from((200, 503)), st.sampled_from(('', 'copy', 'late'))
+        ),
+        max_size=8,
+    )
+)
+def test_no_sending_gets_the_response_to_an_earlier_one_of_its_id(extras):
+    """A target refuses a request, takes it the next time, or the reverse."""
+
+    async def work(target):
+        sender = make_sender()
+        statuses = []
+        while len(statuses) < len(extras):
+            try:
+                labelled = await fetch(sender, target, 'r1')
+            except ServiceError as error:
+                assert error.code is Code.TARGET_REFUSED
+                statuses.append(503)
+            else:
+                statuses.append(labelled.response.status)
+        return statuses
+
+    statuses = curio.run(run_target, work, extras)
+    assert statuses == [status for status, _extra in extras]
+
+
+def test_reports_and_orders_get_no_late_copy_of_each_other():
+    """They bear no id that tells their responses apart."""
+
+    async def work(target):
+        client = make_sender().control_client
+        address = parse_address(target.registration.address)
+        head = RequestHead('GET', '/v1/report')
+        return [
+            (await client.fetch(address, head)).status for _number in range(2)
+        ]
+
+    assert curio.run(run_target, work, [(200, 'late'), (503, '')]) == [200, 503]
+
+
+def test_one_server_is_not_asked_again_at_once_while_others_back_off():
+    """It was asked thirteen times within 20 ms."""
+
+    async def main():
+        async with open_site(scorers=3) as site:
+            host = site.hosts[0]
+            busy, *others = site.scorers
+            busy.refuse = 100
+            targets = host.directory.registry.targets
+            for server in others:
+                now = host.clock.elapsed()
+                targets[server.name].back_off(now, timedelta(seconds=2))
+            await site.call(
+                host, 'POST', '/once/a', attempt_id='r1', deadline_ms='400'
+            )
+            return busy.received_at
+
+    times = curio.run(main)
+    assert max(sum(t <= x < t + 0.02 for x in times) for t in times) <= 2
--- a/packages/wire/sequoia_wire/clients.py
+++ b/packages/wire/sequoia_wire/clients.py
@@ -67,14 +67,26 @@
         """Release the connection for reuse, or close it."""
         await self.client.release(self.connection)
 
-    async def send(self, head: RequestHead, body: bytes = b'') -> ResponseHead:
+    async def send(
+        self, head: RequestHead, body: bytes = b'', request_id: str = ''
+    ) -> ResponseHead:
         """Send the request and return the head of the response.
 
+        Args:
+            head: The head of the request.
+            body: Its body.
+            request_id: What identifies its response; a connection carries each
+                id once. Empty if nothing does.
+
         Raises:
             ServiceError: With verdict NOT_RUN only if no byte of the request can
                 have been sent.
         """
-        self.connection = await self.client.connect(self.address, self.timeouts)
+        self.connection = await self.client.connect(
+            self.address, self.timeouts, request_id
+        )
+        if request_id:
+            self.connection.request_ids.append(request_id)
         request = h11.Request(
             method=head.method,
             target=head.target,
@@ -211,27 +223,20 @@
         self,
         address: Address,
         timeouts: Timeouts,
+        request_id: str = '',
     ) -> ClientConnection:
         """Return an open idle connection, or a new one.
 
+        Args:
+            address: Where it leads.
+            timeouts: Of the call.
+            request_id: Id of the request that it is to carry, if any.
+
         Raises:
             ServiceError: With code CONNECT_FAILED.
         """
-        idle_connections = self.idle[address]
-        while idle_connections:
-            connection = idle_connections.pop()
-            if not connection.is_stale():
-                return connection
-            await connection.close()
-        try:
-            async with curio.timeout_after(timeouts.connect.total_seconds()):
-                sock = await connect(address.host, address.port)
-        except (OSError, curio.TaskTimeout) as error:
-            raise ServiceError(
-                Code.CONNECT_FAILED,
-                f'{address}: {error!r}',
-            ) from error
-        return ClientConnection(address, sock)
+        connection = await self._take_idle(address, request_id)
+        return connection or await self._open(address, timeouts)
 
     async def release(self, connection: ClientConnection | None) -> None:
         """Return a reusable connection to the pool; close any other."""
@@ -251,6 +256,38 @@
             while idle_connections:
                 await idle_connections.pop().close()
 
+    async def _take_idle(
+        self, address: Address, request_id: str
+    ) -> ClientConnection | None:
+        """Return the latest idle connection for a request, if there is one."""
+        idle_connections = self.idle[address]
+        for connection in tuple(reversed(idle_connections)):
+            if not connection.may_carry(request_id):
+                continue
+            idle_connections.remove(connection)
+            if not connection.is_stale():
+                return connection
+            await connection.close()
+        return None
+
+    async def _open(
+        self, address: Address, timeouts: Timeouts
+    ) -> ClientConnection:
+        """Return a new connection.
+
+        Raises:
+            ServiceError: With code CONNECT_FAILED.
+        """
+        try:
+            async with curio.timeout_after(timeouts.connect.total_seconds()):
+                sock = await connect(address.host, address.port)
+        except (OSError, curio.TaskTimeout) as error:
+            raise ServiceError(
+                Code.CONNECT_FAILED,
+                f'{address}: {error!r}',
+            ) from error
+        return ClientConnection(address, sock)
+
 
 @asynccontextmanager
 async def limit_call_time(call: Call, limit: timedelta) -> AsyncIterator[None]:
--- a/packages/wire/sequoia_wire/connections.py
+++ b/packages/wire/sequoia_wire/connections.py
@@ -1,6 +1,7 @@
 """Client side of one HTTP connection."""
 
 import re
+from collections import deque
 from datetime import timedelta
 
 import curio
@@ -14,15 +15,17 @@
 
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d{1,6})')
 EXPIRY_MARGIN = timedelta(milliseconds=500)
+REMEMBERED_REQUESTS = 256
 
 
-@define
+@define(eq=False)
 class ClientConnection:
     """A connection to one address; serves one call at a time.
 
     Attributes:
         expires_at: Time after which the connection is not reused; None if the
             peer announced no keep-alive timeout.
+        request_ids: Ids of the latest requests that it has carried.
     """
 
     address: Address
@@ -31,6 +34,9 @@
         factory=lambda: h11.Connection(our_role=h11.CLIENT),
     )
     expires_at: timedelta | None = None
+    request_ids: deque[str] = field(
+        factory=lambda: deque(maxlen=REMEMBERED_REQUESTS)
+    )
 
     async def send_events(self, *events: h11.Event) -> None:
         """Send ``events`` in a single write."""
@@ -58,6 +64,14 @@
         """Close the connection."""
         await self.sock.close()
 
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether a response to a request can be told from others.
+
+        A late copy of the response to an earlier request with the same id
+        cannot.
+        """
+        return not request_id or request_id not in self.request_ids
+
     def is_reusable(self) -> bool:
         """Return whether both messages are complete and no data follows."""
         if self.state.our_state is not h11.DONE:
