Read the route of a reward call again while it waits for a target

Trainers would have seen (review, by reading): a reward call kept the service that its route named first; if a configuration moved the route and the old service lost all servers, the call waited without end and its item was never listed.

Change: a waiting call reads its route again each second.

--- a/packages/rollouts/sequoia_rollouts/rewards.py
+++ b/packages/rollouts/sequoia_rollouts/rewards.py
@@ -1,6 +1,7 @@
 """Scores a finished text with a call to a reward service."""
 
 import random
+from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
 
@@ -11,7 +12,12 @@
 from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.routing import Route
-from sequoia_policy.submissions import Item, RewardCall, WorkQueue
+from sequoia_policy.submissions import (
+    GroupRank,
+    Item,
+    RewardCall,
+    WorkQueue,
+)
 from sequoia_policy.target_failures import record_target_failure
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import RequestHead, encode_headers
@@ -29,6 +35,7 @@
 RETRY_BACKOFF = timedelta(milliseconds=40)
 OBJECTIVES_PER_ATTEMPT = 2.5
 MIN_ATTEMPT_TIMEOUT = timedelta(milliseconds=500)
+ROUTE_LIFETIME = timedelta(seconds=1)  # until a waiting call reads it again
 
 log = Log('reward')
 REWARD_REFUSED = log.event(
@@ -77,8 +84,9 @@
         rank = partial(queue.rank_group, item)
         while True:
             route = self._find_route(call)
-            service = route.choose_service(self.rng)
-            target = await self.scorers.acquire(service, rank)
+            target = await self._acquire_target(route, rank)
+            if target is None:
+                continue
             try:
                 labelled = await self._send(call, route, target)
             except ServiceError as failure:
@@ -91,6 +99,18 @@
                 return labelled.labels.signature
             self._count_refusal(call, route, queue, labelled.response.status)
 
+    async def _acquire_target(
+        self, route: Route, rank: Callable[[], GroupRank]
+    ) -> RegisteredTarget | None:
+        """Acquire a slot of a target; return None if the route is to be read.
+
+        The configuration may move the route to another service meanwhile.
+        """
+        service = route.choose_service(self.rng)
+        async with curio.ignore_after(ROUTE_LIFETIME.total_seconds()):
+            return await self.scorers.acquire(service, rank)
+        return None
+
     def _find_route(self, call: RewardCall) -> Route:
         path = call.path.partition('?')[0]
         route = self.directory.configuration.find_route(call.host, path)
