Give hosts of the test bed ports that are free over TCP and UDP

The fixture open_site failed once with "Address already in use". Cause: the system chose a TCP port for other hosts, and the UDP socket of the same number may have been taken by another socket of the tests. Brought about on purpose: a UDP socket on the next number that a host is to use. The bed now takes numbers below those that the system chooses, and only if both kinds are free.

Test: test_host_of_a_site_starts_though_its_next_port_is_taken_over_udp.

--- a/packages/rollouts/tests/sites.py
+++ b/packages/rollouts/tests/sites.py
@@ -1,6 +1,8 @@
 """A small site in one process: store, engines, scorers, hosts, a caller."""
 
 import base64
+import itertools
+import socket
 from contextlib import asynccontextmanager
 from datetime import timedelta
 
@@ -134,7 +136,7 @@
             'z1',
             ANY_PORT,
             ANY_PORT,
-            ANY_PORT,
+            find_peer_address(),
             timedelta(seconds=8),
             timedelta(milliseconds=300),
         )
@@ -225,6 +227,32 @@
                     return found
 
 
+PEER_PORTS = itertools.cycle(range(20000, 30000))
+
+
+def find_peer_address():
+    """Return an address that is free over TCP and over UDP.
+
+    The system chooses ports from 32768 on: one of its choice for TCP may be
+    taken over UDP by another socket of the tests.
+    """
+    for port in PEER_PORTS:
+        address = Address('127.0.0.1', port)
+        if is_free(address, socket.SOCK_STREAM):
+            if is_free(address, socket.SOCK_DGRAM):
+                return address
+    raise AssertionError('unreachable, as the ports repeat')
+
+
+def is_free(address, kind):
+    with socket.socket(socket.AF_INET, kind) as sock:
+        try:
+            sock.bind((address.host, address.port))
+        except OSError:
+            return False
+    return True
+
+
 async def wait_until(condition, seconds=DEFAULT_TIMEOUT):
     async with curio.timeout_after(seconds):
         while not condition():
--- a/packages/rollouts/tests/test_resets.py
+++ b/packages/rollouts/tests/test_resets.py
@@ -1,12 +1,13 @@
 """Connections are reset in each phase of a message."""
 
+import socket
 from contextlib import asynccontextmanager
 
 import curio
 import pytest
 from relays import Relay
 from sequoia_policy.errors import ServiceError
-from sites import open_site, wait_until
+from sites import find_peer_address, open_site, wait_until
 
 WORDS = 6
 # Bytes of responses before a reset: before the head, in it, in the body of a
@@ -164,3 +165,16 @@
     response, runs = curio.run(main)
     assert response.status == 200
     assert [name for name, _ in runs] == ['r2']
+
+
+def test_host_of_a_site_starts_though_its_next_port_is_taken_over_udp():
+    """Its port was free over TCP only: "Address already in use"."""
+    taken = find_peer_address()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((taken.host, taken.port + 1))
+
+        async def main():
+            async with open_site() as site:
+                return site.hosts[0].coordination.peers.address.port
+
+        assert curio.run(main) != taken.port + 1
