Deny a path only by a configuration that was confirmed of late

A trainer takes a 404 for final. A host whose reads of the configuration fail may have an older one without the trainer's route: it now answers 503 with a time to come back once 3 s have passed since the store confirmed what it has.

The labels of a response are read once for the word that a target leaves.

--- a/packages/policy/sequoia_policy/preconditions.py
+++ b/packages/policy/sequoia_policy/preconditions.py
@@ -3,6 +3,8 @@
 from datetime import timedelta
 
 FIRST_CONFIGURATION = 1  # version 0 means that none was read
+# Longer than a read of changes takes, also if the response to one is lost.
+MAX_CONFIGURATION_AGE = timedelta(seconds=3)
 
 
 def may_judge_route(configuration_version: int, accepted_under: int) -> bool:
@@ -18,6 +20,17 @@
     return configuration_version >= max(FIRST_CONFIGURATION, accepted_under)
 
 
+def may_deny_route(age: timedelta | None) -> bool:
+    """Return whether to tell a caller that its path has no route.
+
+    Callers take that for final; a newer configuration may have the route.
+
+    Args:
+        age: Time since the store confirmed the configuration; None if never.
+    """
+    return age is not None and age <= MAX_CONFIGURATION_AGE
+
+
 def is_clock_known(offset: timedelta | None) -> bool:
     """Return whether times by the clock of the store can be told.
 
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -7,6 +7,7 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.permits import Urgency
+from sequoia_policy.preconditions import may_deny_route
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.routing import Route
 from sequoia_wire.logs import Log, LogKind
@@ -102,15 +103,21 @@
 
         Raises:
             ServiceError: If there is none, or if no configuration was loaded
-                yet.
+                yet; with code NOT_READY if a newer one may have the route.
         """
         configuration = self.directory.configuration
         if not configuration.version:
             raise ServiceError(Code.NOT_READY, retry_after=RETRY_AFTER)
         route = configuration.find_route(host, path)
-        if route is None:
+        if route is not None:
+            return route
+        if may_deny_route(self.directory.operator_follower.age()):
             raise ServiceError(Code.UNKNOWN_PATH, f'{host}{path}')
-        return route
+        raise ServiceError(
+            Code.NOT_READY,
+            'the configuration is not confirmed',
+            retry_after=RETRY_AFTER,
+        )
 
     async def respond(self, request: LiveRequest) -> Response:
         """Return the response of a target.
--- a/packages/rollouts/sequoia_rollouts/orders.py
+++ b/packages/rollouts/sequoia_rollouts/orders.py
@@ -198,5 +198,6 @@
             call.body,
             timeouts,
         )
-        self.sender.check_leaving(target, response.head)
+        labels = self.sender.dialect.read_labels(response.head)
+        self.sender.check_leaving(target, response.head, labels)
         return response
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -197,7 +197,7 @@
         received = self.dialect.read_labels(response)
         if received.request_id and received.request_id != outgoing.id:
             raise ServiceError(Code.WRONG_ANSWER, 'response to another request')
-        self.check_leaving(target, response)
+        self.check_leaving(target, response, received)
         await self._record_limit(target, response, received, sent_at)
         if received.not_run:
             await call.read_body()  # keeps the connection reusable
@@ -211,12 +211,14 @@
         return response
 
     def check_leaving(
-        self, target: RegisteredTarget, response: ResponseHead
+        self,
+        target: RegisteredTarget,
+        response: ResponseHead,
+        labels: ResponseLabels,
     ) -> None:
         """Record that a target leaves if its response says so."""
-        if response.status == MISDIRECTED_STATUS:
-            return  # another target responded
-        if self.dialect.read_labels(response).leaving:
+        is_own = response.status != MISDIRECTED_STATUS  # of another target
+        if labels.leaving and is_own:
             self.record_leaving(target)
 
     async def _record_limit(
--- a/packages/rollouts/tests/test_runners.py
+++ b/packages/rollouts/tests/test_runners.py
@@ -5,6 +5,7 @@
 import pytest
 from engine_standin import MODEL
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.preconditions import MAX_CONFIGURATION_AGE
 from sites import make_lot, make_manifest, open_site, wait_until
 
 NEW_VERSION = 5
@@ -113,6 +114,26 @@
     assert {item['state'] for item in results} == {'completed'}
 
 
+def test_path_without_a_route_is_denied_only_if_the_configuration_is_new():
+    """A trainer takes 404 for final, though a newer manifest has its route."""
+
+    async def main():
+        async with open_site() as site:
+            host = site.hosts[0]
+            follower = host.directory.operator_follower
+            store, follower.store = follower.store, UnresponsiveStore()
+            early = await site.call(host, 'POST', '/new/x', attempt_id='r1')
+            limit = MAX_CONFIGURATION_AGE
+            await wait_until(lambda: follower.age() > limit)
+            late = await site.call(host, 'POST', '/new/x', attempt_id='r2')
+            follower.store = store
+            await wait_until(lambda: follower.age() < limit)
+            sure = await site.call(host, 'POST', '/new/x', attempt_id='r3')
+            return [response.status for response in (early, late, sure)]
+
+    assert curio.run(main) == [404, 503, 404]
+
+
 def test_items_are_dead_once_their_route_is_removed():
     """The guard must not keep items of a removed route waiting for ever."""
 
