Order nothing after a lapsed lease before the duty was read again

Cause: a view up to 2.5 s old was taken as new enough, though the lease had lapsed in between. While a lease is held without a gap nobody takes the duty, whatever the age of the view; after a gap only a view from since then counts.

Change: a renewal or claim that comes too late marks the lease as lapsed, and orders wait for a read of the table since then.

The model drives leases, liveness, the ownership table, adoption, duties and the guards of policy/preconditions.py for four hosts against a modelled store.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
-# Targets: setup, demo, test, lint, bench. Needs Python 3.11, pip and make.
+# Targets: setup, demo, test, lint, bench, model. Needs Python 3.11, pip and make.
 PYTHON ?= python3.11
 BIN := .venv/bin
 DEPLOYMENT ?= tamsui
+EXAMPLES ?= 500
 PACKAGES := policy wire rollouts entry operator standins bench
 
-.PHONY: setup demo test lint format bench
+.PHONY: setup demo test lint format bench model
 
 setup: .venv/done
 
@@ -30,5 +31,9 @@
 format: setup
 	$(BIN)/ruff format .
 
+# Searches for orders of events that break a promise, EXAMPLES of them.
+model: setup
+	EXAMPLES=$(EXAMPLES) $(BIN)/pytest -s packages/rollouts/tests/test_model.py
+
 bench: setup
 	$(BIN)/sequoia-bench
--- a/packages/policy/sequoia_policy/preconditions.py
+++ b/packages/policy/sequoia_policy/preconditions.py
@@ -46,11 +46,12 @@
 def is_read_since(lost_at: timedelta | None, read_at: timedelta | None) -> bool:
     """Return whether the owners of work were read since a lease was lost.
 
-    Other hosts take over the work of a process without a lease, so that what
-    it knew before says nothing about the owner.
+    Other hosts take over the work of a process without a valid lease, so that
+    what it knew before says nothing about the owner.
 
     Args:
-        lost_at: When this process last lost its lease; None if never.
+        lost_at: When this process last lost its lease, or had let it lapse;
+            None if never.
         read_at: When the store last responded to a read of the owners.
     """
     if lost_at is None:
--- a/packages/rollouts/sequoia_rollouts/lease_keepers.py
+++ b/packages/rollouts/sequoia_rollouts/lease_keepers.py
@@ -184,6 +184,8 @@
         async with curio.timeout_after(WRITE_TIMEOUT.total_seconds()):
             written = await self.store.commit(transaction)
         lease = CoordinatorLease(name, written, heartbeat)
+        if not self.heartbeats.holds_lease():
+            self.heartbeats.own.lapsed_at = self.clock.elapsed()
         self.heartbeats.own.renew(lease, sent_at)
         self.heartbeats.leases[name] = lease
         self.heartbeats.store_responded_at = self.clock.elapsed()
--- a/packages/rollouts/sequoia_rollouts/own_leases.py
+++ b/packages/rollouts/sequoia_rollouts/own_leases.py
@@ -24,6 +24,8 @@
         renewed_at: When the last heartbeat that the store accepted was sent;
             None without a lease.
         lost_at: When a lease was last lost; None if never.
+        lapsed_at: When a lease was last renewed or claimed too late, so that
+            others may have taken over what this process did.
     """
 
     clock: Clock
@@ -33,6 +35,7 @@
     lease: CoordinatorLease | None = None
     renewed_at: timedelta | None = None
     lost_at: timedelta | None = None
+    lapsed_at: timedelta | None = None
 
     def __attrs_post_init__(self) -> None:
         """Create the heartbeat with a random id for this process."""
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ServiceError
+from sequoia_policy.preconditions import is_read_since
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.routing import Service
 from sequoia_wire.codecs import encode
@@ -34,8 +35,8 @@
 COMMIT_TIMEOUT = timedelta(milliseconds=600)
 RETRY_BACKOFF = timedelta(milliseconds=300)
 HANDOVER_MARGIN = timedelta(milliseconds=300)  # added to the order lease
-# Another host that takes the duty waits longer before its first order, so that
-# a view of this age would show it.
+# While this host holds its lease no other one takes the duty; this bounds how long
+# it relies on that without a word of the store.
 MAX_OWNERSHIP_AGE = timedelta(milliseconds=2500)
 
 log = Log('weights')
@@ -104,7 +105,11 @@
         heartbeats = self.ownership.heartbeats
         if not heartbeats.holds_lease() or heartbeats.is_draining:
             return False
-        if not self.ownership.follower.is_current(MAX_OWNERSHIP_AGE):
+        follower = self.ownership.follower
+        if not follower.is_current(MAX_OWNERSHIP_AGE):
+            return False
+        lapsed_at = heartbeats.own.lapsed_at
+        if not is_read_since(lapsed_at, follower.store_responded_at):
             return False
         return self.clock.elapsed() >= self.earliest_order_at
 
--- /dev/null
+++ b/packages/rollouts/tests/ownership_model.py
@@ -0,0 +1,454 @@
+"""A model of hosts that own submissions, driven by the shipped decisions.
+
+Leases, heartbeats, the ownership table, adoption, the duty to order and the
+preconditions are the product's. The store, the clocks, the runners and the
+network are modelled. After each tick the promises to callers are checked.
+"""
+
+import random
+from collections import Counter
+from datetime import timedelta
+
+from attrs import define, evolve, field
+from fleet_simulation import BoundedStore, ManualClock
+from sequoia_policy import preconditions
+from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.submissions import Ownership
+from sequoia_policy.verdicts import Verdict
+from sequoia_rollouts import submissions, sweepers, weights
+from sequoia_rollouts.adoptions import Adopter
+from sequoia_rollouts.heartbeats import HeartbeatService
+from sequoia_rollouts.lease_keepers import LeaseKeeper
+from sequoia_rollouts.own_leases import OwnLease
+from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
+from sequoia_rollouts.stores import (
+    ABSENT,
+    Changes,
+    Committer,
+    ConflictError,
+    Guard,
+    Row,
+    RowPage,
+    Transaction,
+)
+from sequoia_rollouts.tables import (
+    read_ownership,
+    submission_key,
+    write_ownership,
+)
+
+TICK = timedelta(milliseconds=100)
+CANCEL = timedelta(seconds=3)  # in which an end takes effect
+CALM = timedelta(seconds=3)  # without disruption before a bound holds
+RECOVERY = timedelta(seconds=15)  # until every open submission is run again
+ORDER_LEASE = timedelta(seconds=3)
+FEED_INTERVAL = timedelta(milliseconds=500)
+CALL_TIMEOUT = timedelta(milliseconds=900)
+CLOCK_AHEAD = timedelta(hours=2)  # of the store
+CLOCK_ERROR = timedelta(seconds=2)  # of a time of acceptance
+COMMIT_TIMEOUT = timedelta(seconds=1)
+DOMAIN = 'z'
+
+
+class BrokenPromiseError(AssertionError):
+    """A promise to callers was broken."""
+
+
+@define(eq=False)
+class ModelStore(BoundedStore):
+    """A store with a feed, a clock of its own and lost answers.
+
+    Attributes:
+        history: Changed rows, oldest first.
+        to_lose: Number of further calls whose answer is lost.
+        loses_duty: Whether the answer to the next write of a duty is lost; its
+            writer waits for it for a while.
+    """
+
+    history: list = field(factory=list)
+    to_lose: int = 0
+    loses_duty: bool = False
+
+    async def commit(self, transaction):
+        before = dict(self.rows)
+        version = await super().commit(transaction)
+        for write in transaction.writes:
+            if before.get(write.key) != self.rows.get(write.key):
+                row = Row(write.key, version, write.body)
+                self.history.append(row)
+        if self.loses_duty and 'duty/' in transaction.writes[0].key.key:
+            self.loses_duty = False
+            self.clock.now += CALL_TIMEOUT
+            self.to_lose = 1
+        self._lose()
+        return version
+
+    async def read(self, row_range):
+        page = await super().read(row_range)
+        self._lose()
+        end = row_range.end or '\U0010ffff'
+        rows = tuple(
+            row for row in page.rows if row_range.start <= row.key.key < end
+        )
+        return RowPage(rows, self.version, self.clock.now + CLOCK_AHEAD)
+
+    async def follow(self, table, after, timeout):
+        found = {
+            row.key: row
+            for row in self.history
+            if row.version > after and row.key.table == table
+        }
+        self._lose()
+        return Changes(tuple(found.values()), self.version)
+
+    def _lose(self):
+        if self.to_lose:
+            self.to_lose -= 1
+            raise ServiceError(
+                Code.STORE_UNAVAILABLE,
+                'response lost',
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+
+
+@define(eq=False)
+class HostStore:
+    """The store as one host reaches it, or does not."""
+
+    store: ModelStore
+    is_cut: bool = False
+
+    def __getattr__(self, name):
+        if self.is_cut:
+            raise ServiceError(
+                Code.STORE_UNAVAILABLE, 'cut', verdict=Verdict.NOT_RUN
+            )
+        return getattr(self.store, name)
+
+
+@define
+class Work:
+    """A submission as its caller knows it.
+
+    Attributes:
+        configuration: Version under which it was accepted.
+        ended_at: When the end was acknowledged; None if it was not.
+    """
+
+    id: str
+    route: str
+    configuration: int
+    ended_at: timedelta | None = None
+
+
+@define
+class NoLoads:
+    """A planner for which each tick has an order to send."""
+
+    service: object
+
+    def plan(self):
+        return ()
+
+
+@define
+class ModelService:
+    name: str = 's'
+
+
+@define(eq=False)
+class ModelHost:
+    """One process: the product's decisions and a modelled runner.
+
+    Attributes:
+        running: Ownerships of the submissions that it runs, by id.
+        configuration: Version that it has; 0 before the first.
+        disturbed_at: When a disruption of it last ended.
+        paused_until: Until when it does not run.
+        blind_until: Until when the answers with configurations are lost.
+    """
+
+    name: str
+    store: HostStore
+    clock: ManualClock
+    rng: random.Random
+    heartbeats: HeartbeatService = field(init=False)
+    keeper: LeaseKeeper = field(init=False)
+    table: OwnershipTable = field(init=False)
+    adopter: Adopter = field(init=False)
+    manager: weights.WeightManager = field(init=False)
+    running: dict = field(factory=dict)
+    configuration: int = 0
+    disturbed_at: timedelta = timedelta()
+    paused_until: timedelta = timedelta()
+    blind_until: timedelta = timedelta()
+    due: dict = field(factory=dict)
+
+    def __attrs_post_init__(self):
+        own = OwnLease(self.clock, self.name, DOMAIN)
+        boot = f'{self.rng.getrandbits(48):012x}'  # the same in each run
+        own.heartbeat = evolve(own.heartbeat, boot=boot)
+        self.heartbeats = HeartbeatService(self.store, self.clock, own)
+        self.keeper = LeaseKeeper(
+            self.heartbeats, self.store, self.clock, self.rng
+        )
+        self.table = OwnershipTable(
+            self.store,
+            self.clock,
+            self.heartbeats,
+            self.apply_change,
+            lambda name, note: None,
+        )
+        self.table.follower.find_feed_interval = timedelta
+        self.adopter = Adopter(self.table)
+        self.manager = weights.WeightManager(
+            self.clock,
+            None,
+            self.table,
+            Committer(self.store, self.clock),
+            None,
+            NoLoads(ModelService()),
+            ORDER_LEASE,
+        )
+
+    async def apply_change(self, owned):
+        """Start or stop a runner, as the product's handler does."""
+        is_owner = owned.ownership.owner == self.heartbeats.owner
+        if owned.ownership.ended or not is_owner:
+            self.running.pop(owned.id, None)
+        else:
+            self.running[owned.id] = owned.ownership
+
+    async def run_due(self, model):
+        """Do what is due, in random order."""
+        if self.clock.now < self.paused_until:
+            return
+        acts = [
+            self.read_leases,
+            self.renew,
+            self.follow,
+            self.adopt,
+            self.manage,
+        ]
+        self.rng.shuffle(acts)
+        for act in acts:
+            try:
+                await act()
+            except ServiceError:
+                model.counts['calls that failed'] += 1
+        is_reached = not self.store.is_cut and not model.store.to_lose
+        if is_reached and self.clock.now >= self.blind_until:
+            self.configuration = model.configuration
+        for submission_id in tuple(self.running):
+            model.run_item(self, submission_id)
+        owned = self.table.duties.get(self.manager.duty)
+        if owned and owned.owner == self.heartbeats.owner:
+            if self.manager.may_order(owned):
+                model.order(self)
+
+    def is_due(self, name, interval):
+        if self.clock.now < self.due.get(name, timedelta()):
+            return False
+        self.due[name] = self.clock.now + interval
+        return True
+
+    async def read_leases(self):
+        if self.is_due('read', self.heartbeats.find_read_interval()):
+            await self.heartbeats.read()
+
+    async def renew(self):
+        if self.is_due('renew', self.keeper.find_interval()):
+            await self.keeper.step()
+
+    async def follow(self):
+        follower = self.table.follower
+        if not follower.is_active():
+            follower.version = None
+        elif self.is_due('follow', FEED_INTERVAL):
+            await follower.step()
+
+    async def adopt(self):
+        if not self.store.is_cut:
+            for submission_id in self.adopter._find_adoptable():
+                await self.adopter._adopt(submission_id)
+
+    async def manage(self):
+        if not self.store.is_cut:
+            await self.manager.step()
+
+
+@define(eq=False)
+class OwnershipModel:
+    """Hosts, their callers, and what was promised to these.
+
+    Attributes:
+        routes: Routes by version of the configuration.
+        orders: When which process last ordered.
+        counts: How often each act and disruption happened.
+    """
+
+    seed: int
+    size: int = 4
+    clock: ManualClock = field(factory=ManualClock)
+    rng: random.Random = field(init=False)
+    store: ModelStore = field(init=False)
+    hosts: dict = field(factory=dict)
+    work: dict = field(factory=dict)
+    routes: dict = field(factory=lambda: {1: frozenset(('r0',))})
+    last_order: tuple | None = None
+    counts: Counter = field(factory=Counter)
+
+    def __attrs_post_init__(self):
+        self.rng = random.Random(self.seed)
+        self.store = ModelStore(self.clock, self.rng)
+        for number in range(self.size):
+            self.start(f'h{number}')
+
+    @property
+    def configuration(self):
+        return max(self.routes)
+
+    def start(self, name):
+        host = ModelHost(name, HostStore(self.store), self.clock, self.rng)
+        host.disturbed_at = self.clock.now
+        self.hosts[name] = host
+
+    async def run(self, duration):
+        end = self.clock.now + duration
+        while self.clock.now < end:
+            self.clock.now += TICK
+            hosts = list(self.hosts.values())
+            self.rng.shuffle(hosts)
+            for host in hosts:
+                await host.run_due(self)
+
+    async def accept(self, host, route):
+        """Accept a submission as the product's handler does."""
+        if host.store.is_cut or not host.configuration:
+            return
+        if route not in self.routes[host.configuration]:
+            return
+        await host.heartbeats.refresh()
+        if not submissions.is_clock_known(host.heartbeats.store_clock_offset):
+            self.counts['refused without clock'] += 1
+            return
+        work = Work(f'w{len(self.work)}', route, host.configuration)
+        ownership = Ownership(
+            host.table.choose_owner(work.id),
+            1,
+            accepted=host.heartbeats.store_now(),
+            configuration_version=host.configuration,
+        )
+        write = write_ownership(work.id, ownership)
+        transaction = Transaction((write,), (Guard(write.key, ABSENT),))
+        try:
+            version = await Committer(self.store, self.clock).commit(
+                transaction, COMMIT_TIMEOUT
+            )
+        except ServiceError:
+            return
+        self.work[work.id] = work
+        self.counts['accepted'] += 1
+        self.check_time(ownership)
+        await host.table.record(OwnedSubmission(work.id, ownership, version))
+
+    async def end(self, work):
+        """End a submission at the store, as any host does."""
+        key = submission_key(work.id)
+        row = self.store.rows[key]
+        ended = evolve(read_ownership(row.body), ended=True)
+        transaction = Transaction(
+            (write_ownership(work.id, ended),), (Guard(key, row.version),)
+        )
+        try:
+            await Committer(self.store, self.clock).commit(
+                transaction, COMMIT_TIMEOUT
+            )
+        except (ServiceError, ConflictError):
+            return
+        work.ended_at = self.clock.now
+        self.counts['ended'] += 1
+
+    def run_item(self, host, submission_id):
+        """Send an item, wait, or give it up, as the product's runner does."""
+        ownership = host.running[submission_id]
+        if not host.table.is_confirmed():
+            self.counts['waited for owner'] += 1
+            return
+        if not preconditions.may_judge_route(
+            host.configuration, ownership.configuration_version
+        ):
+            self.counts['waited for configuration'] += 1
+            return
+        work = self.work.get(submission_id)
+        if work is None:
+            return  # its acceptance was not acknowledged
+        if work.route not in self.routes.get(host.configuration, ()):
+            host.running.pop(submission_id)
+            self.check_dead(work)
+            return
+        self.counts['sent'] += 1
+        self.check_sent(host, work)
+
+    def order(self, host):
+        """Order an engine, as a host does that may."""
+        self.counts['orders'] += 1
+        if self.last_order:
+            name, last_at = self.last_order
+            if name != host.name and self.clock.now - last_at < ORDER_LEASE:
+                raise BrokenPromiseError('two hosts order within the lease')
+        self.last_order = (host.name, self.clock.now)
+
+    def check_time(self, ownership):
+        true_now = self.clock.now + CLOCK_AHEAD
+        if abs(ownership.accepted - true_now) > CLOCK_ERROR:
+            raise BrokenPromiseError('a wrong time of acceptance was stored')
+        owned = OwnedSubmission('', ownership, 1)
+        if sweepers.is_expired(owned, true_now):
+            raise BrokenPromiseError('a new submission is to be removed')
+
+    def check_dead(self, work):
+        self.counts['dead'] += 1
+        later = range(work.configuration, self.configuration + 1)
+        if not any(work.route not in self.routes[number] for number in later):
+            raise BrokenPromiseError('an item is dead though its route stays')
+
+    def check_sent(self, host, work):
+        if work.ended_at is None:
+            return
+        calm_at = host.disturbed_at + CALM
+        if self.clock.now > max(work.ended_at + CANCEL, calm_at):
+            raise BrokenPromiseError('an item is sent after the end')
+
+    def disturb(self, name, hosts):
+        self.counts[name] += 1
+        for host in hosts:
+            host.disturbed_at = self.clock.now
+
+    async def settle(self):
+        """Heal everything; check that each open submission is run once."""
+        self.store.to_lose = 0
+        for host in self.hosts.values():
+            host.store.is_cut = False
+            host.paused_until = timedelta()
+            host.blind_until = timedelta()
+        self.disturb('healed', self.hosts.values())
+        await self.run(RECOVERY)
+        routes = self.routes[self.configuration]
+        for work in self.work.values():
+            if work.ended_at is None and work.route in routes:
+                self.check_runs(work)
+
+    def check_runs(self, work):
+        if submission_key(work.id) not in self.store.rows:
+            raise BrokenPromiseError('a submission is lost')
+        runners = [
+            host.name for host in self.hosts.values() if work.id in host.running
+        ]
+        given_up = any(
+            work.route not in routes
+            for version, routes in self.routes.items()
+            if version >= work.configuration
+        )
+        if len(runners) != 1 and not given_up:
+            raise BrokenPromiseError(f'{work.id} is run by {runners}')
--- a/packages/rollouts/tests/test_weights.py
+++ b/packages/rollouts/tests/test_weights.py
@@ -8,7 +8,9 @@
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.verdicts import Verdict
 from sequoia_rollouts.orders import OrderSender
+from sequoia_rollouts.weights import MAX_OWNERSHIP_AGE
 from sites import open_site, wait_until
+from test_runners import UnresponsiveStore
 
 LEASE = timedelta(seconds=1)
 
@@ -89,6 +91,31 @@
     assert curio.run(main) >= LEASE
 
 
+def test_holder_whose_lease_had_lapsed_reads_the_duty_before_it_orders():
+    """Another host may have taken it; a view from before seemed new enough."""
+
+    async def main():
+        async with open_site(engines=1) as site:
+            host = site.hosts[0]
+            await wait_until(lambda: owns_duty(host))
+            manager = await find_manager(host)
+            owned = host.ownership.duties[manager.duty]
+            await wait_until(lambda: manager.may_order(owned))
+            follower = host.ownership.follower
+            store, follower.store = follower.store, UnresponsiveStore()
+            site.store.down = 503
+            await wait_until(lambda: not host.heartbeats.holds_lease())
+            site.store.down = 0
+            await wait_until(host.heartbeats.holds_lease)
+            is_view_new = follower.is_current(MAX_OWNERSHIP_AGE)
+            early = manager.may_order(owned)
+            follower.store = store
+            await wait_until(lambda: manager.may_order(owned))
+            return is_view_new, early
+
+    assert curio.run(main) == (True, False)
+
+
 def test_order_is_not_sent_if_the_duty_was_lost_meanwhile(monkeypatch):
     """Its announcement in the store may take most of a second."""
 
