Keep connections for reports and for orders, apart from those of requests

Reports and orders now keep connections of their own kinds. A late copy of a report is an older report, whose count of orders the engine checks; a late copy of an answer to an order is corrected by the report after it.

Test: the one of test_stalls.py for both kinds and a request after them.

--- a/packages/rollouts/sequoia_rollouts/orders.py
+++ b/packages/rollouts/sequoia_rollouts/orders.py
@@ -8,7 +8,7 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.registries import RegisteredTarget
-from sequoia_wire.clients import Timeouts
+from sequoia_wire.clients import HttpClient, Timeouts
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Response, parse_address
 
@@ -152,6 +152,7 @@
             expected=report.orders,
         )
         response = await self._call(
+            self.sender.order_client,
             target,
             self.sender.dialect.prepare_order(order),
         )
@@ -175,6 +176,7 @@
         desired: DesiredVersion,
     ) -> EngineReport:
         response = await self._call(
+            self.sender.report_client,
             target,
             self.sender.dialect.prepare_report(target.name),
         )
@@ -188,11 +190,11 @@
         return report
 
     async def _call(
-        self, target: RegisteredTarget, call: PreparedCall
+        self, client: HttpClient, target: RegisteredTarget, call: PreparedCall
     ) -> Response:
         address = parse_address(target.registration.address)
         timeouts = Timeouts(CONNECT_TIMEOUT, CALL_TIMEOUT)
-        response = await self.sender.control_client.fetch(
+        response = await client.fetch(
             address,
             call.head,
             call.body,
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -96,8 +96,10 @@
     Attributes:
         record_leaving: Called with a target that says that it leaves.
         client: Sends requests, whose id identifies the response.
-        control_client: Sends reports and orders. They bear no id, so that each
-            has a connection of its own.
+        report_client: Asks for reports, on connections of its own: they bear no
+            id. A late copy of a report is an older report.
+        order_client: Sends orders, on connections of its own. What an order has
+            done is known from the report after it.
     """
 
     clock: Clock
@@ -105,7 +107,8 @@
     permits: Permits
     record_leaving: Callable[[RegisteredTarget], None]
     client: HttpClient = field(factory=HttpClient)
-    control_client: HttpClient = field(factory=lambda: HttpClient(idle_limit=0))
+    report_client: HttpClient = field(factory=HttpClient)
+    order_client: HttpClient = field(factory=HttpClient)
 
     @asynccontextmanager
     async def open(
--- a/packages/rollouts/tests/test_stalls.py
+++ b/packages/rollouts/tests/test_stalls.py
@@ -237,14 +237,22 @@
     """They bear no id that tells their responses apart."""
 
     async def work(target):
-        client = make_sender().control_client
+        sender = make_sender()
         address = parse_address(target.registration.address)
-        head = RequestHead('GET', '/v1/report')
-        return [
-            (await client.fetch(address, head)).status for _number in range(2)
-        ]
+        report = RequestHead('GET', '/v1/report')
+        order = RequestHead('POST', '/v1/order')
+        reported = await sender.report_client.fetch(address, report)
+        ordered = await sender.order_client.fetch(address, order)
+        refusal = ''
+        try:
+            await fetch(sender, target, 'r1')
+        except ServiceError as error:
+            refusal = error.code
+        return reported.status, ordered.status, refusal
 
-    assert curio.run(run_target, work, [(200, 'late'), (503, '')]) == [200, 503]
+    plan = [(200, 'late'), (202, 'late'), (503, '')]
+    expected = (200, 202, Code.TARGET_REFUSED)
+    assert curio.run(run_target, work, plan) == expected
 
 
 def test_one_server_is_not_asked_again_at_once_while_others_back_off():
