--- a/packages/rollouts/tests/ownership_model.py
+++ b/packages/rollouts/tests/ownership_model.py
@@ -143,7 +143,7 @@
 
 @define
 class NoLoads:
-    """A planner for which each tick has an order to send."""
+    """A planner that plans nothing: the model orders whenever a host may."""
 
     service: object
 
--- a/packages/rollouts/tests/test_stalls.py
+++ b/packages/rollouts/tests/test_stalls.py
@@ -25,6 +25,13 @@
 )
 
 TIMEOUT = timedelta(seconds=1)
+# Status of each response, and what is sent besides.
+plans = st.lists(
+    st.tuples(
+        st.sampled_from((200, 503)), st.sampled_from(('', 'copy', 'late'))
+    ),
+    max_size=8,
+)
 
 
 def test_an_item_moves_away_from_an_engine_that_sends_no_events():
@@ -165,14 +172,7 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(
-    st.lists(
-        st.tuples(
-            st.sampled_from((200, 503)), st.sampled_from(('', 'copy', 'late'))
-        ),
-        max_size=8,
-    )
-)
+@given(plans)
 def test_no_request_gets_the_response_to_another_one(extras):
     async def work(target):
         sender = make_sender()
@@ -205,14 +205,7 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(
-    st.lists(
-        st.tuples(
-            st.sampled_from((200, 503)), st.sampled_from(('', 'copy', 'late'))
-        ),
-        max_size=8,
-    )
-)
+@given(plans)
 def test_no_sending_gets_the_response_to_an_earlier_one_of_its_id(extras):
     """A target refuses a request, takes it the next time, or the reverse."""
 
