Give no time of the store before its clock was read

Cause of the class: store_now() stood in with the host's own clock until the store's was read, and only two of twelve callers asked first. A host ignored a quarantine, stored a crash hours off, wrote shared permits and the end of a limit with its own time, and signed with a key that others had not read.

Change: StoreClock has no time before the first read. now() is None, which mypy makes every caller handle; read() refuses as not run; no caller gets the offset. Pending crashes keep the host's time and wait. The planted fault of the model is now that type answering with the host's clock.

--- a/packages/policy/sequoia_policy/preconditions.py
+++ b/packages/policy/sequoia_policy/preconditions.py
@@ -31,18 +31,6 @@
     return age is not None and age <= MAX_CONFIGURATION_AGE
 
 
-def is_clock_known(offset: timedelta | None) -> bool:
-    """Return whether times by the clock of the store can be told.
-
-    Without it nothing may be accepted, as the time of acceptance is stored, and
-    nothing may be removed.
-
-    Args:
-        offset: The store's clock minus that of this host; None if not read.
-    """
-    return offset is not None
-
-
 def is_read_since(lost_at: timedelta | None, read_at: timedelta | None) -> bool:
     """Return whether the owners of work were read since a lease was lost.
 
--- a/packages/policy/sequoia_policy/quarantines.py
+++ b/packages/policy/sequoia_policy/quarantines.py
@@ -42,9 +42,24 @@
         length = MIN_QUARANTINE * (1 << min(doublings, MAX_DOUBLINGS))
         return self.last_at + length
 
-    def is_quarantined(self, now: timedelta) -> bool:
-        """Return whether the request must not be sent to any target."""
-        return self.is_dangerous and now < self.ends_at
+    def is_quarantined(self, now: timedelta | None) -> bool:
+        """Return whether the request must not be sent to any target.
+
+        Args:
+            now: Time by the clock of the store; None if it is not known, so
+                that no quarantine can have ended.
+        """
+        return self.is_dangerous and (now is None or now < self.ends_at)
+
+    def is_forgotten(self, now: timedelta | None) -> bool:
+        """Return whether too few crashes were long ago; None as above."""
+        if now is None or self.is_dangerous:
+            return False
+        return now >= self.ends_at
+
+    def find_wait(self, now: timedelta | None) -> timedelta:
+        """Return the time to the end, zero if the time is not known."""
+        return timedelta() if now is None else self.ends_at - now
 
     def add(self, targets: Iterable[str], now: timedelta) -> 'CrashRecord':
         """Return the record after more targets have crashed."""
--- a/packages/rollouts/sequoia_rollouts/censuses.py
+++ b/packages/rollouts/sequoia_rollouts/censuses.py
@@ -73,7 +73,7 @@
     async def run(self) -> None:
         """Announce and count until cancelled."""
         while True:
-            if self.heartbeats.liveness.last_read is not None:
+            if self.heartbeats.store_clock.now() is not None:
                 await self.step()
             await curio.sleep(POLL_INTERVAL.total_seconds())
 
@@ -93,17 +93,22 @@
             await self._count()
 
     async def _announce(self) -> None:
-        member = Member(self.heartbeats.own.host, self.heartbeats.store_now())
-        key = member_key(self.heartbeats.own.domain, member.host)
-        transaction = Transaction((RowWrite(key, encode(member)),))
         delay = ANNOUNCE_INTERVAL
         try:
-            await self.store.commit(transaction)
+            await self._write_member()
         except ServiceError as failure:
             NOT_ANNOUNCED.write(detail=failure.detail)
             delay = RETRY_BACKOFF
         self.announce_at = self.clock.elapsed() + delay
 
+    async def _write_member(self) -> None:
+        own = self.heartbeats.own
+        member = Member(own.host, self.heartbeats.store_clock.read())
+        key = member_key(own.domain, member.host)
+        await self.store.commit(
+            Transaction((RowWrite(key, encode(member)),)),
+        )
+
     async def _count(self) -> None:
         delay = COUNT_INTERVAL if self.counts else SECOND_COUNT_AFTER
         try:
--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/heartbeats.py
@@ -18,6 +18,7 @@
     LivenessTiming,
 )
 from sequoia_policy.rates import MAX_FLEET_SIZE, StoreRates
+from sequoia_policy.store_clocks import StoreClock
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import parse_address
 
@@ -41,7 +42,7 @@
     Attributes:
         own: The lease and the heartbeat of this process.
         leases: All leases by name, as last read.
-        store_clock_offset: The store's clock minus that of this host.
+        store_clock: The clock of the store, known from the first read on.
         store_responded_at: When the store last responded.
     """
 
@@ -51,8 +52,12 @@
     rates: StoreRates = field(factory=StoreRates)
     leases: dict[str, CoordinatorLease] = field(factory=dict)
     liveness: LivenessTable = field(factory=LivenessTable)
-    store_clock_offset: timedelta | None = None
     store_responded_at: timedelta | None = None
+    store_clock: StoreClock = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the clock of the store, which is not known yet."""
+        self.store_clock = StoreClock(self.clock)
 
     @property
     def owner(self) -> str:
@@ -69,10 +74,6 @@
         """Whether this host is shutting down."""
         return self.own.heartbeat.draining
 
-    def store_now(self) -> timedelta:
-        """Estimate the store's clock; that of this host until it was read."""
-        return self.clock.elapsed() + (self.store_clock_offset or timedelta())
-
     def find_feed_interval(self) -> timedelta:
         """Return the minimum time between reads of a table's changes."""
         return self.rates.find_feed_interval(self.count_hosts())
@@ -130,7 +131,7 @@
         """
         page = await self.store.read(RowRange(COORDINATORS))
         now = self.clock.elapsed()
-        self.store_clock_offset = page.now - now
+        self.store_clock.record(page.now, now)
         self.store_responded_at = now
         self._apply(list(decode_leases(page.rows)), now)
 
--- a/packages/rollouts/sequoia_rollouts/peer_keys.py
+++ b/packages/rollouts/sequoia_rollouts/peer_keys.py
@@ -102,8 +102,7 @@
         if self.keys is None:
             raise ServiceError(Code.NOT_READY, 'no key has been read')
         secret = self.keys.current
-        age = self.heartbeats.store_now() - self.keys.created
-        if self.keys.previous and age < SIGN_AFTER:
+        if self.keys.previous and not self._is_current_read():
             secret = self.keys.previous
         return seal_datagram(derive_key(secret), payload)
 
@@ -122,6 +121,12 @@
                 raise
         return open_datagram(derive_key(self.keys.previous), datagram)
 
+    def _is_current_read(self) -> bool:
+        """Return whether all hosts have read the current secret by now."""
+        assert self.keys
+        now = self.heartbeats.store_clock.now()
+        return now is not None and now - self.keys.created >= SIGN_AFTER
+
     def _are_outdated(self, now: timedelta) -> bool:
         return self.keys is None or now - self.keys.created > KEY_LIFETIME
 
--- a/packages/rollouts/sequoia_rollouts/permits.py
+++ b/packages/rollouts/sequoia_rollouts/permits.py
@@ -145,8 +145,8 @@
     ) -> timedelta:
         key = make_key(target.registration)
         for _ in range(MAX_CONFLICTS):
-            now = self.heartbeats.store_now()
-            state = self._view(key, limit)
+            now = self.heartbeats.store_clock.read()
+            state = self._view(key, limit, now)
             if not state.is_limited:
                 self._apply_end(target.registration)
                 return NO_WAIT
@@ -162,26 +162,29 @@
                 return NO_WAIT
         return CONFLICT_PAUSE * (1 + self.rng.random())
 
-    def _view(self, key: RowKey, limit: TargetLimit) -> PermitState:
+    def _view(
+        self, key: RowKey, limit: TargetLimit, now: timedelta
+    ) -> PermitState:
         """Return the state that follows from the responses and the store."""
-        offset = self.heartbeats.store_now() - self.clock.elapsed()
-        own = PermitState(limit.per_second, limit.named_at + offset)
+        age = self.clock.elapsed() - limit.named_at
+        own = PermitState(limit.per_second, now - age)
         return own.merge(self.rows.find(key))
 
     async def _store_end(self, registration: Registration) -> None:
         """Store that a limit has ended, unless it was named again."""
-        key = make_key(registration)
-        now = self.heartbeats.store_now()
+        try:
+            await self._write_end(make_key(registration))
+        except (ServiceError, curio.TaskTimeout) as failure:
+            self._record_store_failure(registration.name, str(failure))
+
+    async def _write_end(self, key: RowKey) -> None:
+        now = self.heartbeats.store_clock.read()
         ended = PermitState(0, now)
         for _ in range(MAX_CONFLICTS):
             known = self.rows.find(key)
             if known and known.named_at >= now:
                 return
-            try:
-                if await self.rows.write(key, ended.merge(known)):
-                    return
-            except (ServiceError, curio.TaskTimeout) as failure:
-                self._record_store_failure(registration.name, str(failure))
+            if await self.rows.write(key, ended.merge(known)):
                 return
 
     def _take_unshared(self, name: str, limit: TargetLimit) -> timedelta:
--- a/packages/rollouts/sequoia_rollouts/quarantines.py
+++ b/packages/rollouts/sequoia_rollouts/quarantines.py
@@ -40,6 +40,7 @@
 WRITE_INTERVAL = timedelta(milliseconds=500)  # of what was not stored at once
 WRITES_PER_SECOND = 5.0
 WRITE_BURST = 20.0
+MIN_RETRY_AFTER = timedelta(seconds=1)
 MAX_PENDING = 1000  # requests
 
 log = Log('live')
@@ -69,7 +70,8 @@
 
     Attributes:
         stored: Stored records by fingerprint.
-        pending: Observed crashes that are not stored yet, by fingerprint.
+        pending: Observed crashes that are not stored yet, by fingerprint; their
+            times are those of this host's clock.
         writes: Limits the transactions of this host.
     """
 
@@ -110,16 +112,17 @@
         record = self._find(request)
         if not record.is_dangerous:
             return
-        now = self.heartbeats.store_now()
-        fingerprint = request.fingerprint
-        if not record.is_quarantined(now):
-            if await self._try_write(fingerprint, record.try_again(now)):
+        now = self.heartbeats.store_clock.now()
+        if now is not None and not record.is_quarantined(now):
+            if await self._try_write(
+                request.fingerprint, record.try_again(now)
+            ):
                 return
         raise ServiceError(
             Code.QUARANTINED,
             f'{len(record.targets)} targets crashed under this request',
             verdict=Verdict.NOT_RUN,
-            retry_after=max(timedelta(seconds=1), record.ends_at - now),
+            retry_after=max(MIN_RETRY_AFTER, record.find_wait(now)),
         )
 
     def is_suspect(self, request: LiveRequest) -> bool:
@@ -128,7 +131,7 @@
 
     def is_quarantined(self, request: LiveRequest) -> bool:
         """Return whether a request must not be sent to another target."""
-        now = self.heartbeats.store_now()
+        now = self.heartbeats.store_clock.now()
         return self._find(request).is_quarantined(now)
 
     async def record_failure(
@@ -152,7 +155,7 @@
         if len(self.pending) >= MAX_PENDING:
             self.pending.pop(next(iter(self.pending)))
         self.pending[fingerprint] = pending.add(
-            (process,), self.heartbeats.store_now()
+            (process,), self.clock.elapsed()
         )
         if not self.follower.failed_within(STORE_BACKOFF):
             await self._share(fingerprint)
@@ -189,21 +192,33 @@
         if not self.stored and not self.pending:
             return CrashRecord()
         record = self._merge(request.fingerprint)
-        if not record.is_dangerous:
-            if record.ends_at <= self.heartbeats.store_now():
-                return CrashRecord()
+        if record.is_forgotten(self.heartbeats.store_clock.now()):
+            return CrashRecord()
         return record
 
     def _merge(self, fingerprint: str) -> CrashRecord:
+        """Return the record with the pending crashes.
+
+        They leave the time of the record as it is while the clock of the store
+        is not known.
+        """
         record = self.stored.get(fingerprint, StoredRecord()).record
         pending = self.pending.get(fingerprint, CrashRecord())
-        return record.add(pending.targets, pending.last_at)
+        last_at = self.heartbeats.store_clock.convert(pending.last_at)
+        if last_at is None:
+            last_at = record.last_at
+        return record.add(pending.targets, last_at)
 
     async def _share(self, fingerprint: str) -> None:
-        """Add pending crashes to the stored record."""
+        """Add pending crashes to the stored record.
+
+        They wait until the clock of the store is known.
+        """
         for _ in range(MAX_CONFLICTS):
             if fingerprint not in self.pending:
                 return
+            if self.heartbeats.store_clock.now() is None:
+                return
             record = self._merge(fingerprint)
             if await self._try_write(fingerprint, record):
                 self.pending.pop(fingerprint, None)
@@ -255,7 +270,7 @@
             record = CrashRecord()
         self.stored[fingerprint] = StoredRecord(row.version, record)
         if record.is_dangerous and not known.record.is_dangerous:
-            remaining = record.ends_at - self.heartbeats.store_now()
+            remaining = record.find_wait(self.heartbeats.store_clock.now())
             REQUEST_QUARANTINED.write(
                 fingerprint=fingerprint,
                 targets=list(record.targets),
--- a/packages/rollouts/sequoia_rollouts/submissions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions.py
@@ -7,9 +7,7 @@
 from attrs import define, evolve, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_policy.preconditions import is_clock_known
 from sequoia_policy.submissions import Ownership, Submission
-from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.acceptances import ACCEPT_TIMEOUT, AcceptanceWriter
@@ -34,7 +32,6 @@
 )
 
 END_TIMEOUT = timedelta(milliseconds=2500)
-RETRY_AFTER = timedelta(milliseconds=500)
 START_BACKOFF = timedelta(milliseconds=200)
 
 log = Log('submission')
@@ -189,19 +186,12 @@
     ) -> OwnedSubmission | None:
         """Store a new submission; return None if it was already stored."""
         await self.ownership.heartbeats.refresh()
-        if not is_clock_known(self.ownership.heartbeats.store_clock_offset):
-            raise ServiceError(
-                Code.STORE_UNAVAILABLE,
-                'the clock of the store is not known',
-                verdict=Verdict.NOT_RUN,
-                retry_after=RETRY_AFTER,
-            )
         specification = write_specification(submission)
         ownership = Ownership(
             self.ownership.choose_owner(submission.model or submission.path),
             len(submission.items),
             len(specification),
-            accepted=self.ownership.heartbeats.store_now(),
+            accepted=self.ownership.heartbeats.store_clock.read(),
             model=submission.model,
             min_version=submission.min_version,
             newest_version=self.directory.newest_version(submission.model),
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/sweepers.py
@@ -6,7 +6,6 @@
 from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ServiceError
-from sequoia_policy.preconditions import is_clock_known
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.abandonments import make_abandonment_sweeper
@@ -95,11 +94,9 @@
 
     async def sweep(self) -> None:
         """Remove expired submissions."""
-        if not is_clock_known(self.ownership.heartbeats.store_clock_offset):
-            return
         for owned in tuple(self.ownership.submissions.values()):
-            now = self.ownership.heartbeats.store_now()
-            if not is_expired(owned, now):
+            now = self.ownership.heartbeats.store_clock.now()
+            if now is None or not is_expired(owned, now):
                 continue
             if is_first(self.ownership, owned.id):
                 await self._try_remove(owned)
--- a/packages/rollouts/tests/fleet_simulation.py
+++ b/packages/rollouts/tests/fleet_simulation.py
@@ -12,6 +12,7 @@
 from sequoia_policy.coordinators import list_lease_names
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.rates import StoreRates
+from sequoia_policy.store_clocks import StoreClock
 from sequoia_policy.verdicts import Verdict
 from sequoia_rollouts.censuses import Census
 from sequoia_rollouts.heartbeats import HeartbeatService
@@ -110,9 +111,10 @@
     clock: ManualClock
     hosts: int
     rates: StoreRates = StoreRates()
+    store_clock: StoreClock = field(init=False)
 
-    def store_now(self):
-        return self.clock.now
+    def __attrs_post_init__(self):
+        self.store_clock = StoreClock(self.clock, timedelta())
 
     def count_hosts(self):
         return self.hosts
--- a/packages/rollouts/tests/ownership_model.py
+++ b/packages/rollouts/tests/ownership_model.py
@@ -15,7 +15,7 @@
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.submissions import Ownership
 from sequoia_policy.verdicts import Verdict
-from sequoia_rollouts import submissions, sweepers, weights
+from sequoia_rollouts import sweepers, weights
 from sequoia_rollouts.adoptions import Adopter
 from sequoia_rollouts.heartbeats import HeartbeatService
 from sequoia_rollouts.lease_keepers import LeaseKeeper
@@ -329,14 +329,16 @@
         if route not in self.routes[host.configuration]:
             return
         await host.heartbeats.refresh()
-        if not submissions.is_clock_known(host.heartbeats.store_clock_offset):
+        try:
+            accepted = host.heartbeats.store_clock.read()
+        except ServiceError:
             self.counts['refused without clock'] += 1
             return
         work = Work(f'w{len(self.work)}', route, host.configuration)
         ownership = Ownership(
             host.table.choose_owner(work.id),
             1,
-            accepted=host.heartbeats.store_now(),
+            accepted=accepted,
             configuration_version=host.configuration,
         )
         write = write_ownership(work.id, ownership)
--- a/packages/rollouts/tests/test_model.py
+++ b/packages/rollouts/tests/test_model.py
@@ -23,7 +23,8 @@
 )
 from ownership_model import BrokenPromiseError, OwnershipModel
 from sequoia_policy import preconditions
-from sequoia_rollouts import stores, submissions
+from sequoia_policy.store_clocks import StoreClock
+from sequoia_rollouts import stores
 from sequoia_rollouts.ownership import OwnershipTable
 from sequoia_rollouts.weights import WeightManager
 
@@ -235,13 +236,16 @@
     return acquire
 
 
+def read_unknown_as_own(store_clock):
+    """Take the host's own clock for that of the store, as it was before."""
+    return store_clock.clock.elapsed() + (store_clock.offset or timedelta())
+
+
 FAULTS = {
     'older configuration': mock.patch.object(
         preconditions, 'may_judge_route', lambda *versions: True
     ),
-    'unknown clock': mock.patch.object(
-        submissions, 'is_clock_known', lambda offset: True
-    ),
+    'unknown clock': mock.patch.object(StoreClock, 'now', read_unknown_as_own),
     'wait after the answer': mock.patch.object(
         WeightManager, '_acquire', acquire_after_answer(WeightManager)
     ),
