Answer all requests of a host that is stopped before its process ends

Cause: a stopping host took and sent requests for 3.2 s whatever time they needed, and ended with them in flight, a second before it had to.

Change: before each send the time that the longest requests of the route take is held against the time left; what does not fit is refused at once as not run. Half a second before the end what is in flight fails with its verdict: 502, or 503 if it cannot have run. The whole grace but 0.25 s is used.

--- a/packages/policy/sequoia_policy/target_failures.py
+++ b/packages/policy/sequoia_policy/target_failures.py
@@ -7,6 +7,8 @@
 
 NO_GRACE = timedelta()
 NO_BACKOFF = timedelta()
+# The target has no part in these.
+OWN_FAILURES = frozenset((Code.TARGET_LIMITED, Code.DRAINING))
 
 
 def record_target_failure(
@@ -31,5 +33,5 @@
         target.record_unreachable(now)
     elif failure.code is Code.TARGET_REFUSED:
         target.back_off(now, refusal_backoff)
-    elif failure.code is not Code.TARGET_LIMITED:
+    elif failure.code not in OWN_FAILURES:
         target.record_failure(now)
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/hosts.py
@@ -229,13 +229,16 @@
         self.front.closing = True
         self.coordination.start_draining()
         shutdown = Shutdown(
+            self.clock,
             self.submission_handler,
             self.ownership,
             self.weights,
             self.front,
+            self.live.sender.client,
             self.coordination.lease_keeper,
+            self.live.stop_guard.start(self.settings.stop_limit),
         )
-        await shutdown.run(self.settings.stop_limit)
+        await shutdown.run()
 
     async def _apply_ownership(self, owned: OwnedSubmission) -> None:
         await self.submission_handler.apply_ownership_change(owned)
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live.py
@@ -35,6 +35,7 @@
     LabelledResponse,
     Sender,
 )
+from sequoia_rollouts.stop_guards import StopGuard
 from sequoia_rollouts.streams import LiveStream
 
 log = Log('live')
@@ -66,6 +67,7 @@
     domain: str
     is_cut_off: Callable[[], bool]
     heartbeats: HeartbeatService
+    stop_guard: StopGuard = field(init=False)
     quarantine: Quarantine = field(init=False)
     targets: LiveTargets = field(init=False)
     retries: LiveRetries = field(init=False)
@@ -74,11 +76,13 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the components that share these dependencies."""
+        self.stop_guard = StopGuard(self.clock)
         self.targets = LiveTargets(
             self.clock,
             self.directory,
             self.rng,
             self.domain,
+            self.stop_guard,
         )
         self.quarantine = Quarantine(
             self.directory.store, self.clock, self.heartbeats
@@ -128,13 +132,12 @@
         """
         attempts = self._start_attempts(request)
         await self.quarantine.check(request)
-        while True:
-            response = await self._try_once(attempts)
-            if response is not None:
-                self._log_response(attempts, response)
-                if response.status < MIN_UNSUCCESSFUL_STATUS:
-                    await self.quarantine.record_success(request)
-                return response
+        with self.stop_guard.record(attempts):
+            response = await self._try_until_answered(attempts)
+        self._log_response(attempts, response)
+        if response.status < MIN_UNSUCCESSFUL_STATUS:
+            await self.quarantine.record_success(request)
+        return response
 
     async def stream(
         self,
@@ -149,11 +152,11 @@
         Raises:
             ServiceError: If the stream could not be forwarded completely.
         """
-        stream = LiveStream(
-            self._start_attempts(request), sink, request.resume_after
-        )
+        attempts = self._start_attempts(request)
+        stream = LiveStream(attempts, sink, request.resume_after)
         await self.quarantine.check(request)
-        response = await self.relay.run(stream)
+        with self.stop_guard.record(attempts):
+            response = await self.relay.run(stream)
         if response is None:
             await self.quarantine.record_success(request)
         return response
@@ -171,6 +174,12 @@
             request.arrived + timeout,
         )
 
+    async def _try_until_answered(self, attempts: LiveAttempts) -> Response:
+        response = None
+        while response is None:
+            response = await self._try_once(attempts)
+        return response
+
     async def _try_once(self, attempts: LiveAttempts) -> Response | None:
         """Return a response, or None if the request is retried."""
         labelled = await self.hedged_sender.run(attempts)
--- a/packages/rollouts/sequoia_rollouts/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live_attempts.py
@@ -51,7 +51,7 @@
         return digest.hexdigest()
 
 
-@define
+@define(eq=False)
 class LiveAttempts:
     """The attempts made for one request.
 
--- a/packages/rollouts/sequoia_rollouts/live_retries.py
+++ b/packages/rollouts/sequoia_rollouts/live_retries.py
@@ -61,7 +61,7 @@
     def _check_retry(
         self, attempts: LiveAttempts, failure: ServiceError
     ) -> None:
-        if attempts.refusals > MAX_REFUSALS:
+        if failure.code is Code.DRAINING or attempts.refusals > MAX_REFUSALS:
             raise self._make_final_error(attempts, failure)
         if self.quarantine.is_quarantined(attempts.request):
             raise self._make_final_error(attempts, failure)
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -16,6 +16,7 @@
 
 from sequoia_rollouts.directories import Directory
 from sequoia_rollouts.live_attempts import RETRY_AFTER, LiveAttempts
+from sequoia_rollouts.stop_guards import StopGuard
 
 REFUSAL_BACKOFF = timedelta(milliseconds=15)
 
@@ -47,13 +48,16 @@
     directory: Directory
     rng: random.Random
     domain: str
+    stop_guard: StopGuard
 
     def choose(self, attempts: LiveAttempts) -> RegisteredTarget:
         """Return the target of the next attempt.
 
         Raises:
-            ServiceError: If the service has no reachable target.
+            ServiceError: If the service has no reachable target, or with code
+                DRAINING if this host ends too soon.
         """
+        self.stop_guard.check_send(attempts)
         now = self.clock.elapsed()
         usable = self._find_usable(attempts.service, now)
         if not usable:
--- a/packages/rollouts/sequoia_rollouts/shutdowns.py
+++ b/packages/rollouts/sequoia_rollouts/shutdowns.py
@@ -5,7 +5,10 @@
 
 import curio
 from attrs import define
+from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import ServiceError
+from sequoia_policy.stops import StopTimes
+from sequoia_wire.clients import HttpClient
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.servers import HttpServer
 
@@ -14,14 +17,15 @@
 from sequoia_rollouts.submissions import SubmissionHandler
 from sequoia_rollouts.weights import WeightManagers
 
-ROTATION_TIME = timedelta(milliseconds=3200)  # until callers choose other hosts
 ITEM_FINISH_TIMEOUT = timedelta(milliseconds=2500)  # items in flight at a stop
-STOP_MARGIN = timedelta(seconds=1)
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 
 log = Log('host')
 HOST_DRAINS = log.event('host drains', 'host')
 HOST_STOPPED = log.event('host stopped', 'host')
+REQUESTS_ABORTED = log.event(
+    'requests aborted', 'requests', kind=LogKind.FAILURE
+)
 NOT_HANDED_OVER = log.event(
     'not handed over', 'submission', 'detail', kind=LogKind.FAILURE
 )
@@ -29,28 +33,48 @@
 
 @define
 class Shutdown:
-    """Shutdown of a host that already reports that it is not ready."""
+    """Shutdown of a host that already reports that it is not ready.
+
+    Attributes:
+        client: Sends the requests of callers and the items to targets.
+        times: When it refuses new requests, answers the last one and ends.
+    """
 
+    clock: Clock
     submission_handler: SubmissionHandler
     ownership: OwnershipTable
     weights: WeightManagers
     front: HttpServer
+    client: HttpClient
     lease_keeper: LeaseKeeper
+    times: StopTimes
 
-    async def run(self, stop_limit: timedelta) -> None:
-        """Wait until all work is finished or handed over, or until a time limit.
-
-        Args:
-            stop_limit: Time after which the process is killed.
-        """
+    async def run(self) -> None:
+        """Finish all work or hand it over, and answer what is left in time."""
         HOST_DRAINS.write(host=self.ownership.heartbeats.own.host)
-        limit = stop_limit - STOP_MARGIN
-        async with curio.ignore_after(limit.total_seconds()):
-            async with curio.TaskGroup() as group:
-                await group.spawn(self._hand_over)
-                await group.spawn(self._end_calls)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._finish)
+            await group.spawn(self._answer_the_rest)
         HOST_STOPPED.write(host=self.ownership.heartbeats.own.host)
 
+    async def _finish(self) -> None:
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._hand_over)
+            await group.spawn(self._end_calls)
+
+    async def _answer_the_rest(self) -> None:
+        """Let requests in flight fail while there is time to say so."""
+        await self._wait_until(self.times.answers_by)
+        aborted = self.client.abort()
+        if aborted:
+            REQUESTS_ABORTED.write(requests=aborted)
+        await self._wait_until(self.times.ends_at)
+
+    async def _wait_until(self, time: timedelta) -> None:
+        """Wait by the host's clock, which also runs while it is suspended."""
+        while self.clock.elapsed() < time:
+            await curio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
+
     async def _hand_over(self) -> None:
         """Finish items in flight, then release the rest to other hosts."""
         with suppress(ServiceError):
@@ -81,5 +105,5 @@
         )
 
     async def _end_calls(self) -> None:
-        await curio.sleep(ROTATION_TIME.total_seconds())
+        await self._wait_until(self.times.refuses_at)
         await self.front.drain()
--- a/packages/wire/sequoia_wire/clients.py
+++ b/packages/wire/sequoia_wire/clients.py
@@ -45,7 +45,7 @@
 DEFAULT_TIMEOUTS = Timeouts()
 
 
-@define
+@define(eq=False)
 class Call:
     """A request in flight, used as an asynchronous context manager.
 
@@ -61,10 +61,12 @@
 
     async def __aenter__(self) -> 'Call':
         """Enter the context; ``send`` opens the connection."""
+        self.client.calls.add(self)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Release the connection for reuse, or close it."""
+        self.client.calls.discard(self)
         await self.client.release(self.connection)
 
     async def send(
@@ -85,6 +87,7 @@
         self.connection = await self.client.connect(
             self.address, self.timeouts, request_id
         )
+        self._check_aborted()
         if request_id:
             self.connection.request_ids.append(request_id)
         request = h11.Request(
@@ -177,8 +180,24 @@
         raise ServiceError(Code.TARGET_BROKE, 'too many interim responses')
 
     async def _next_event(self) -> h11.Event:
+        """Return the next event of the response.
+
+        The end of a connection that this process has closed is not the end of
+        a response.
+        """
         assert self.connection
-        return await self.connection.next_event(self.timeouts.progress)
+        try:
+            return await self.connection.next_event(self.timeouts.progress)
+        finally:
+            self._check_aborted()
+
+    def _check_aborted(self) -> None:
+        if self.client.aborted:
+            raise ServiceError(
+                Code.DRAINING,
+                'the process ends',
+                verdict=Verdict.MAY_HAVE_RUN if self.sent else Verdict.NOT_RUN,
+            )
 
 
 @define
@@ -188,6 +207,8 @@
     Attributes:
         idle_limit: Maximum number of idle connections per address.
         max_body_bytes: Maximum size of a response that is read as a whole.
+        calls: The calls in flight.
+        aborted: Whether all calls fail, as the process ends.
     """
 
     idle: dict[Address, list[ClientConnection]] = field(
@@ -195,6 +216,8 @@
     )
     idle_limit: int = IDLE_CONNECTIONS_PER_ADDRESS
     max_body_bytes: int = MAX_BODY_BYTES
+    calls: set[Call] = field(factory=set)
+    aborted: bool = False
 
     def call(self, address: Address, timeouts: Timeouts) -> Call:
         """Return a call to ``address``; use it with ``async with``."""
@@ -250,6 +273,19 @@
             return
         await connection.close()
 
+    def abort(self) -> int:
+        """Let all calls in flight and all later ones fail with code DRAINING.
+
+        Returns:
+            The number of calls in flight.
+        """
+        self.aborted = True
+        connections = [call.connection for call in self.calls]
+        for connection in connections:
+            if connection is not None:
+                connection.shut_down()
+        return len(connections)
+
     async def close(self) -> None:
         """Close all idle connections."""
         for idle_connections in self.idle.values():
--- a/packages/wire/sequoia_wire/connections.py
+++ b/packages/wire/sequoia_wire/connections.py
@@ -12,6 +12,7 @@
 from sequoia_wire.clocks import monotonic_time
 from sequoia_wire.http_events import read_event
 from sequoia_wire.messages import Address, ResponseHead
+from sequoia_wire.sockets import shut_down_socket
 
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d{1,6})')
 EXPIRY_MARGIN = timedelta(milliseconds=500)
@@ -60,6 +61,10 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise ServiceError(Code.TARGET_BROKE, str(error)) from error
 
+    def shut_down(self) -> None:
+        """End the connection; a task that waits for data sees its end."""
+        shut_down_socket(self.sock)
+
     async def close(self) -> None:
         """Close the connection."""
         await self.sock.close()
--- a/packages/wire/sequoia_wire/frames.py
+++ b/packages/wire/sequoia_wire/frames.py
@@ -13,6 +13,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from sequoia_wire.signatures import TAG_SIZE, sign
+from sequoia_wire.sockets import shut_down_socket
 
 NONCE_SIZE = 16  # bytes
 MAX_FRAME_SIZE = 4194304  # bytes
@@ -74,7 +75,7 @@
     return message
 
 
-@define
+@define(eq=False)
 class PeerChannel:
     """One end of a connection between entry hosts.
 
@@ -102,6 +103,10 @@
         """Close the connection."""
         await self.sock.close()
 
+    def shut_down(self) -> None:
+        """End the connection; a task that waits for data sees its end."""
+        shut_down_socket(self.sock)
+
     async def send_nonce(self, nonce: bytes) -> None:
         """Send the nonce, which is the first data that a server sends."""
         self.nonce = nonce
--- a/packages/wire/sequoia_wire/servers.py
+++ b/packages/wire/sequoia_wire/servers.py
@@ -90,9 +90,11 @@
         self.draining = True
         if self.accepting:
             await self.accepting.cancel()
-        if self.listener:
-            await self._accept_queued(self.listener)
-            await self.listener.close()
+        listener = self.listener
+        self.listener = None
+        if listener:
+            await self._accept_queued(listener)
+            await listener.close()
         while self.connections:
             for connection in tuple(self.connections):
                 await connection.close_if_idle()
--- a/packages/wire/sequoia_wire/sockets.py
+++ b/packages/wire/sequoia_wire/sockets.py
@@ -1,5 +1,8 @@
 """TCP connections and socket options."""
 
+import socket
+from contextlib import suppress
+
 import curio
 
 
@@ -25,3 +28,9 @@
     sock = await curio.open_connection(host, port)
     disable_nagle(sock)
     return sock
+
+
+def shut_down_socket(sock: curio.io.Socket) -> None:
+    """End a connection; a task that waits for its data sees the end of it."""
+    with suppress(OSError):  # it may have ended already
+        sock._socket.shutdown(socket.SHUT_RDWR)  # noqa: SLF001
--- a/packages/wire/tests/test_clients.py
+++ b/packages/wire/tests/test_clients.py
@@ -138,3 +138,60 @@
     responses, requests = curio.run(call_after_peer_closed)
     assert [response.body for response in responses] == [b'hello'] * 3
     assert requests == 3
+
+
+async def abort_while_reading(answer):
+    """Return what became of a call that is aborted while a server answers."""
+    closed = curio.Event()
+
+    async def serve(sock, _address):
+        await sock.recv(1000)
+        await sock.sendall(answer)
+        await closed.wait()
+
+    sock = curio.network.tcp_server_socket('127.0.0.1', 0)
+    address = Address(*sock._socket.getsockname())
+    await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
+    client = HttpClient()
+
+    async def read():
+        async with client.call(address, TIMEOUTS) as call:
+            await call.send(HEAD, BODY)
+            return await call.read_body()
+
+    reading = await curio.spawn(read)
+    await curio.sleep(0.1)
+    aborted = client.abort()
+    await reading.wait()
+    await closed.set()
+    return aborted, reading.exception
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [b'', b'HTTP/1.1 200 OK\r\n\r\npart', RESPONSE[:-2], RESPONSE[:20]],
+)
+def test_aborted_call_is_never_complete(answer):
+    """A response without a length ends with its connection, which we close."""
+    aborted, failure = curio.run(abort_while_reading, answer)
+    assert aborted == 1
+    assert failure.code is Code.DRAINING
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+
+
+async def call_after_abort():
+    client = HttpClient()
+    client.abort()
+    server = TruncatingServer(RESPONSE, request_end=b'-end')
+    address, _task = await listen(server)
+    async with client.call(address, TIMEOUTS) as call:
+        try:
+            await call.send(HEAD, BODY)
+        except ServiceError as failure:
+            return failure
+
+
+def test_call_after_the_abort_is_not_sent():
+    failure = curio.run(call_after_abort)
+    assert failure.code is Code.DRAINING
+    assert failure.verdict is Verdict.NOT_RUN
