Tell the verdict of calls that outlast the drain of an entry host

Change: calls in flight at the limit fail as calls whose connection broke (502, may-have-run), forwarded ones too; those that wait for admission follow as draining (503, not run). Nothing is sent again.

--- a/packages/entry/sequoiashed/forwards.py
+++ b/packages/entry/sequoiashed/forwards.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 import curio
-from attrs import define
+from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.members import Member
@@ -54,12 +54,14 @@
     Attributes:
         domain: Failure domain of this host.
         progress_timeout: Maximum time to wait for each message of a peer.
+        channels: The connections of the calls in flight.
     """
 
     key: bytes
     domain: str
     clock: Clock
     progress_timeout: timedelta
+    channels: set[PeerChannel] = field(factory=set)
 
     async def run(
         self,
@@ -76,11 +78,19 @@
         channel = await open_channel(parse_address(peer.peer), self.key)
         async with channel:
             call.sent = True
+            self.channels.add(channel)
             try:
                 await channel.send(self._make_request(call))
                 await self._relay(channel, sink)
             except (OSError, curio.TaskTimeout) as error:
                 raise ServiceError(Code.PEER_BROKE, peer.name) from error
+            finally:
+                self.channels.discard(channel)
+
+    def abort(self) -> None:
+        """Let all calls in flight fail, as the process ends."""
+        for channel in self.channels:
+            channel.shut_down()
 
     def _make_request(self, call: RoutedCall) -> PeerRequest:
         remaining = call.deadline - self.clock.elapsed()
--- a/packages/entry/sequoiashed/hosts.py
+++ b/packages/entry/sequoiashed/hosts.py
@@ -2,12 +2,12 @@
 
 import os
 import signal
-from contextlib import suppress
 
 import curio
 from attrs import define, evolve, field
 from sequoia_policy.budgets import RetryBudget
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.stops import ANSWER_TIME
 from sequoia_wire.clocks import SystemClock
 from sequoia_wire.exchanges import Exchange
 from sequoia_wire.logs import Log
@@ -62,12 +62,14 @@
         state = make_state(self.settings, SystemClock())
         self.state = state
         self.router = make_router(state, RetryBudget())
-        sample_router = make_router(state, RetryBudget(ROLLOUT_RETRY_SHARE))
+        self.sample_router = make_router(
+            state, RetryBudget(ROLLOUT_RETRY_SHARE)
+        )
         self.follower = PlanFollower(state)
         self.duty_manager = DutyManager(
             state,
             (
-                lambda: list_sample_duties(state, sample_router),
+                lambda: list_sample_duties(state, self.sample_router),
                 lambda: list_engine_duties(state),
             ),
         )
@@ -150,7 +152,8 @@
 
         Peers and monitors learn of the drain, and leases are released,
         before new calls are refused. The drain takes at most the notice plus
-        the drain limit; calls that are still in flight then are cut off.
+        the drain limit; calls that are still in flight then fail with their
+        verdict.
         """
         self.state.draining = True
         members = self.state.members
@@ -158,15 +161,22 @@
         log.write('host drains', host=self.settings.name)
         settings = self.settings
         limit = (settings.drain_notice + settings.drain_limit).total_seconds()
-        with suppress(curio.TaskTimeout):
-            async with curio.timeout_after(limit):
-                await self.duty_manager.drain()
-                await curio.sleep(self.settings.drain_notice.total_seconds())
-                self.state.closed = True
-                await self.http.drain()
-                await self.peers.drain()
+        async with curio.ignore_after(limit):
+            await self.duty_manager.drain()
+            await curio.sleep(settings.drain_notice.total_seconds())
+            self.state.closed = True
+            await self._end_calls()
+        for router in (self.router, self.sample_router):
+            router.abort()
+        async with curio.ignore_after(ANSWER_TIME.total_seconds()):
+            await self._end_calls()
         log.write('host stopped', host=self.settings.name)
 
+    async def _end_calls(self) -> None:
+        """Wait until no call is in flight."""
+        await self.http.drain()
+        await self.peers.drain()
+
     def _on_signal(self, number: int, _frame: object) -> None:
         if self.state.draining or self.stop.is_set():
             os._exit(SIGNAL_EXIT_STATUS + number)  # noqa: SLF001
--- a/packages/entry/sequoiashed/routers.py
+++ b/packages/entry/sequoiashed/routers.py
@@ -97,6 +97,11 @@
             await curio.sleep(delay.total_seconds())
             failure = await self._attempt(call, tracked)
 
+    def abort(self) -> None:
+        """Let all calls in flight and all later ones fail, as the process ends."""
+        self.sender.client.abort()
+        self.forwarder.abort()
+
     def usable_targets(self, call: RoutedCall) -> list[TargetState]:
         """Return the targets of this domain that may receive a call.
 
@@ -237,10 +242,18 @@
         peers = self.state.members.live_members(domain, now)
         return self.state.rng.choice(peers) if peers else None
 
+    def _find_last_code(self, call: RoutedCall) -> Code:
+        """Return the code for a call that this process can no longer try."""
+        if call.verdict is Verdict.NOT_RUN:
+            return Code.DRAINING
+        return Code.TARGET_BROKE
+
     def _check_retry(self, call: RoutedCall, failure: ServiceError) -> None:
         now = self.state.clock.elapsed()
         facts = call.attempt_facts(now)
         refusal = find_retry_refusal(facts, failure.code, self.budget)
+        if self.sender.client.aborted:
+            refusal = self._find_last_code(call)
         if refusal is None:
             self.state.metrics.retried.labels(failure.code.value.label).inc()
             return
--- a/packages/standins/tests/test_deployments.py
+++ b/packages/standins/tests/test_deployments.py
@@ -195,6 +195,36 @@
     assert not any(outcome.answered for outcome in report.outcomes)
 
 
+async def stop_during_calls(group, layout):
+    """Stop the only host during calls that outlast it."""
+    await Deployment(layout).publish_plan()
+    host = layout.hosts[0]
+    kinds = make_kinds(layout.shape)
+    calls = make_load(layout, layout.hosts, 1, 8, (kinds[0],))
+    load_task = await curio.spawn(calls.run)
+    await curio.sleep(1.2)
+    group.terminate(host.name)
+    status = await curio.run_in_thread(group.wait, host.name, 30)
+    return status, await load_task.join()
+
+
+def test_calls_that_outlast_a_stopped_host_get_its_verdict(tmp_path):
+    """Their connections were closed, so that nobody told what became of them."""
+    layout = make_layout(evolve(TAMSUI, hosts=1, engines=1, plain_targets=1))
+    with ProcessGroup(tmp_path) as group:
+        start_platform(group, layout)
+        for target in layout.targets:
+            is_plain = target in layout.targets_of(layout.shape.plain_pool)
+            options = ('--work-time', '9s') if is_plain else ()
+            start_target(group, layout, target, *options)
+        start_host(group, layout, layout.hosts[0], DRAIN_LIMIT='1s')
+        status, report = curio.run(stop_during_calls, group, layout)
+    first = [outcome.tries[0] for outcome in report.outcomes]
+    assert status == 0
+    assert {attempt.status for attempt in first} == {502}
+    assert {attempt.verdict for attempt in first} == {'may-have-run'}
+
+
 async def kill_and_restart(group, layout):
     """Kill two hosts in turn under load and restart each."""
     deployment = Deployment(layout)
