Keep what targets announce in one record for each process

Cause: what was known of targets stood in parallel memories: departures by process and limits by name and start time, each with its own forgetting, and a copy of one of them on the target. Five places put together whether a target may take a request (leaving, backoff, permit), each in its own words.

Change: Announcements is the one record of what a process said (that it leaves, its limit); the target, its registry and the permits share it, and it outlives the registration. RegisteredTarget.is_open and is_reachable are the two judgements that live requests, hedges, retries, streams, items and reward calls ask; all ways to choose stand in target_choices. A limit that was named ten minutes ago is forgotten when it is looked up, not only when another target names one.

--- a/packages/policy/sequoia_policy/registries.py
+++ b/packages/policy/sequoia_policy/registries.py
@@ -5,8 +5,12 @@
 
 from attrs import define, field, frozen
 
+from sequoia_policy.announcements import (
+    Announcements,
+    AnnouncementTable,
+    TargetProcess,
+)
 from sequoia_policy.choices import rank_names
-from sequoia_policy.departures import Departures, TargetProcess
 from sequoia_policy.permits import Urgency
 
 MIN_BACKOFF = timedelta(milliseconds=250)
@@ -74,7 +78,7 @@
         loading_until: Time until which the engine starts no new run, by
             model.
         no_permit_until: Time until which the target's limit leaves no permit.
-        said_leaving: Whether a response of this process said that it leaves.
+        announced: What this process announced in its responses.
     """
 
     registration: Registration
@@ -88,7 +92,7 @@
     newest_versions: dict[str, int] = field(factory=dict)
     loading_until: dict[str, timedelta] = field(factory=dict)
     no_permit_until: dict[Urgency, timedelta] = field(factory=dict)
-    said_leaving: bool = False
+    announced: Announcements = field(factory=Announcements)
 
     @property
     def name(self) -> str:
@@ -103,19 +107,23 @@
     @property
     def is_leaving(self) -> bool:
         """Whether its registration or a response says that it leaves."""
-        return self.registration.leaving or self.said_leaving
+        return self.registration.leaving or self.announced.leaving
 
     def is_usable(self, now: timedelta) -> bool:
         """Return whether new work may be sent to the target."""
         return not self.is_leaving and now >= self.backoff_until
 
-    def may_have_permit(self, urgency: Urgency, now: timedelta) -> bool:
-        """Return whether a request may find a permit, or needs none."""
+    def is_open(self, urgency: Urgency, now: timedelta) -> bool:
+        """Return whether a request may be sent to the target now."""
+        if not self.is_usable(now):
+            return False
         return now >= self.no_permit_until.get(urgency, now)
 
-    def record_no_permit(self, urgency: Urgency, until: timedelta) -> None:
-        """Record that no permit is free until a time."""
-        self.no_permit_until[urgency] = until
+    def is_reachable(self, urgency: Urgency, now: timedelta) -> bool:
+        """Return whether it may take a request now, though it backs off."""
+        if self.is_leaving or self.unreachable:
+            return False
+        return now >= self.no_permit_until.get(urgency, now)
 
     def find_wait(self, urgency: Urgency, now: timedelta) -> timedelta:
         """Return the time until the target may take a new request."""
@@ -193,7 +201,7 @@
         services: The same targets by service and name.
         rankings: Targets of a service in the order of a key, by both.
         expiring: Names of the targets within their grace period.
-        departures: Processes that said in a response that they leave.
+        announcements: What all processes announced in their responses.
     """
 
     targets: dict[str, RegisteredTarget] = field(factory=dict)
@@ -202,7 +210,7 @@
         factory=dict
     )
     expiring: set[str] = field(factory=set)
-    departures: Departures = field(factory=Departures)
+    announcements: AnnouncementTable = field(factory=AnnouncementTable)
 
     def register(self, registration: Registration) -> bool:
         """Apply a registration; return whether it changed anything."""
@@ -221,17 +229,6 @@
         self.expiring.discard(registration.name)
         return is_changed
 
-    def record_leaving(self, registration: Registration) -> bool:
-        """Record that a response said that its target leaves.
-
-        Returns:
-            Whether that is new.
-        """
-        known = self.targets.get(registration.name)
-        if known and known.registration.process == registration.process:
-            known.said_leaving = True
-        return self.departures.record(registration.process)
-
     def remove(self, name: str, now: timedelta, grace: timedelta) -> None:
         """Remove a target once ``grace`` has passed, at once if it is zero.
 
@@ -272,11 +269,13 @@
         """Return all targets of a service."""
         return list(self.services.get(service, {}).values())
 
-    def usable(self, service: str, now: timedelta) -> list[RegisteredTarget]:
-        """Return the targets of a service that new work may be sent to."""
+    def find_open(
+        self, service: str, urgency: Urgency, now: timedelta
+    ) -> list[RegisteredTarget]:
+        """Return the targets of a service that may take a request now."""
         self.expire(now)
         found = self.find(service)
-        return [target for target in found if target.is_usable(now)]
+        return [target for target in found if target.is_open(urgency, now)]
 
     def rank(self, service: str, key: str) -> Sequence[RegisteredTarget]:
         """Return all targets of a service in the rendezvous order of a key.
@@ -294,7 +293,7 @@
     def _add(self, target: RegisteredTarget) -> None:
         service = target.registration.service
         process = target.registration.process
-        target.said_leaving = self.departures.includes(process)
+        target.announced = self.announcements.find(process)
         self.targets[target.name] = target
         self.services.setdefault(service, {})[target.name] = target
         self._forget_rankings(service)
--- a/packages/policy/sequoia_policy/target_choices.py
+++ b/packages/policy/sequoia_policy/target_choices.py
@@ -51,7 +51,14 @@
     """
     median = median_seconds(usable, now)
     candidates = rng.sample(usable, min(2, len(usable)))
-    return min(
-        candidates,
-        key=lambda target: target.estimate(now, median),
-    )
+    return min(candidates, key=lambda target: target.estimate(now, median))
+
+
+def choose_fastest(
+    free: Collection[RegisteredTarget], now: timedelta
+) -> RegisteredTarget | None:
+    """Return the target with the lowest estimate, or None if there is none."""
+    if not free:
+        return None
+    median = median_seconds(free, now)
+    return min(free, key=lambda target: target.estimate(now, median))
--- a/packages/policy/tests/test_departures.py
+++ b/packages/policy/tests/test_departures.py
@@ -4,7 +4,12 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from sequoia_policy.departures import MAX_PROCESSES, Departures, TargetProcess
+from sequoia_policy.announcements import (
+    MAX_PROCESSES,
+    AnnouncementTable,
+    TargetProcess,
+)
+from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import Registration, TargetRegistry
 
 NOW = timedelta(seconds=100)
@@ -28,7 +33,8 @@
     said = set()
     for act, name, born in steps:
         if act == 'says':
-            registry.record_leaving(register(name, born))
+            process = TargetProcess(name, born)
+            registry.announcements.find(process).record_leaving()
             said.add((name, born))
         elif act == 'gone':
             registry.remove(name, NOW, timedelta())
@@ -37,7 +43,7 @@
         else:
             leaving = act == 'draining'
             registry.register(register(name, born, leaving=leaving))
-        for target in registry.usable('s', NOW):
+        for target in registry.find_open('s', Urgency.LIVE, NOW):
             known = target.registration
             assert (known.name, known.started_at) not in said
         for target in registry.find('s'):
@@ -48,9 +54,9 @@
 
 def test_memory_is_bounded_and_loses_the_oldest_first():
     """Processes that are gone are not told apart from silent ones."""
-    departures = Departures()
+    table = AnnouncementTable()
     for number in range(MAX_PROCESSES + 1):
-        assert departures.record(TargetProcess(f't{number}', 1))
-    assert not departures.includes(TargetProcess('t0', 1))
-    assert departures.includes(TargetProcess('t1', 1))
-    assert not departures.record(TargetProcess('t1', 1))
+        assert table.find(TargetProcess(f't{number}', 1)).record_leaving()
+    assert len(table.processes) == MAX_PROCESSES
+    assert not table.find(TargetProcess('t1', 1)).record_leaving()
+    assert table.find(TargetProcess('t0', 1)).record_leaving()
--- a/packages/policy/tests/test_registries.py
+++ b/packages/policy/tests/test_registries.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import (
     MAX_BACKOFF,
     ModelVersion,
@@ -26,7 +27,8 @@
 
 
 def usable_names(registry, now=NOW):
-    return [target.name for target in registry.usable('pool', now)]
+    found = registry.find_open('pool', Urgency.LIVE, now)
+    return [target.name for target in found]
 
 
 def test_a_leaving_target_gets_no_new_work():
--- a/packages/policy/tests/test_target_limits.py
+++ b/packages/policy/tests/test_target_limits.py
@@ -2,55 +2,64 @@
 
 from datetime import timedelta
 
-from sequoia_policy.registries import Registration
-from sequoia_policy.target_limits import MIN_PER_SECOND, TargetLimits
-
-TARGET = Registration('t1', 'app', '127.0.0.1:1', 'z1', started_at=5)
-RESTARTED = Registration('t1', 'app', '127.0.0.1:1', 'z1', started_at=6)
+from sequoia_policy.announcements import (
+    FORGET_LIMIT_AFTER,
+    MIN_PER_SECOND,
+    AnnouncementTable,
+    TargetProcess,
+)
+
+TARGET = TargetProcess('t1', started_at=5)
+RESTARTED = TargetProcess('t1', started_at=6)
 NOW = timedelta(seconds=100)
 SECOND = timedelta(seconds=1)
 
 
-def make_limits(per_second=2):
-    limits = TargetLimits()
-    assert limits.record(TARGET, per_second, NOW)
-    return limits
+def make_table(per_second=2):
+    table = AnnouncementTable()
+    assert table.find(TARGET).record_limit(per_second, NOW)
+    return table
 
 
 def test_named_limit_is_found():
-    assert make_limits().find(TARGET).per_second == 2
+    table = make_table()
+    assert table.find(TARGET).find_limit(NOW).per_second == 2
+    assert table.list_limits(NOW)['t1'].per_second == 2
 
 
 def test_limit_that_is_named_again_is_not_new():
-    limits = make_limits()
-    assert not limits.record(TARGET, 2, NOW + SECOND)
-    assert limits.record(TARGET, 3, NOW + SECOND)
+    known = make_table().find(TARGET)
+    assert not known.record_limit(2, NOW + SECOND)
+    assert known.record_limit(3, NOW + SECOND)
 
 
 def test_limit_of_zero_leaves_room_to_find_its_end():
-    assert make_limits(0).find(TARGET).per_second == MIN_PER_SECOND
+    limit = make_table(0).find(TARGET).find_limit(NOW)
+    assert limit.per_second == MIN_PER_SECOND
 
 
 def test_restarted_target_has_no_limit():
-    limits = make_limits()
-    assert limits.find(RESTARTED) is None
-    assert not limits.lift(RESTARTED, NOW + SECOND)
+    restarted = make_table().find(RESTARTED)
+    assert restarted.find_limit(NOW) is None
+    assert not restarted.lift_limit(NOW + SECOND)
 
 
 def test_response_without_limit_ends_it():
-    limits = make_limits()
-    assert limits.lift(TARGET, NOW + SECOND)
-    assert limits.find(TARGET) is None
+    table = make_table()
+    assert table.find(TARGET).lift_limit(NOW + SECOND)
+    assert table.find(TARGET).find_limit(NOW) is None
+    assert not table.list_limits(NOW)
 
 
 def test_response_to_earlier_request_does_not_end_the_limit():
-    limits = make_limits()
-    assert not limits.lift(TARGET, NOW - SECOND)
-    assert limits.find(TARGET)
+    known = make_table().find(TARGET)
+    assert not known.lift_limit(NOW - SECOND)
+    assert known.find_limit(NOW)
 
 
 def test_limits_that_are_not_named_any_more_are_forgotten():
-    limits = make_limits()
-    other = Registration('t2', 'app', '127.0.0.1:2', 'z1')
-    limits.record(other, 1, NOW + timedelta(minutes=11))
-    assert list(limits.by_name) == ['t2']
+    table = make_table()
+    later = NOW + FORGET_LIMIT_AFTER
+    table.find(TargetProcess('t2', 0)).record_limit(1, later)
+    assert list(table.list_limits(later)) == ['t2']
+    assert table.find(TARGET).find_limit(later) is None
--- a/packages/rollouts/sequoia_rollouts/directories.py
+++ b/packages/rollouts/sequoia_rollouts/directories.py
@@ -133,8 +133,7 @@
 
     def record_leaving(self, target: RegisteredTarget) -> None:
         """Record that a response of a target said that it leaves."""
-        target.said_leaving = True
-        if self.registry.record_leaving(target.registration):
+        if target.announced.record_leaving():
             TARGET_SAYS_IT_LEAVES.write(
                 target=target.name,
                 registered_leaving=target.registration.leaving,
--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/item_runs.py
@@ -114,7 +114,13 @@
         ownership: Knows this host and the hosts that run submissions.
         rng: Chooses targets, and the services of reward calls.
     """
-    permits = PermitTaker(ownership.store, clock, ownership.heartbeats, rng)
+    permits = PermitTaker(
+        ownership.store,
+        clock,
+        ownership.heartbeats,
+        rng,
+        directory.registry.announcements,
+    )
     sender = Sender(clock, dialect, permits, directory.record_leaving)
     placer = Placer(
         clock,
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live_targets.py
@@ -59,7 +59,7 @@
         """
         self.stop_guard.check_send(attempts)
         now = self.clock.elapsed()
-        usable = self._find_usable(attempts.service, now)
+        usable = self._find_open(attempts.service, now)
         if not usable:
             usable = self._find_reachable(attempts.service, now)
         if not usable:
@@ -84,7 +84,7 @@
     ) -> RegisteredTarget | None:
         """Return an untried target for a hedge, or None if there is none."""
         now = self.clock.elapsed()
-        usable = self._find_usable(attempts.service, now)
+        usable = self._find_open(attempts.service, now)
         used = {first.name, *attempts.tried}
         others = [target for target in usable if target.name not in used]
         if not others:
@@ -123,20 +123,15 @@
         """
         if failure.code is not Code.TARGET_REFUSED:
             return
-        usable = self._find_usable(attempts.service, self.clock.elapsed())
+        usable = self._find_open(attempts.service, self.clock.elapsed())
         if {target.name for target in usable} <= attempts.tried:
             attempts.tried.clear()
             await curio.sleep(REFUSAL_BACKOFF.total_seconds())
 
-    def _find_usable(
+    def _find_open(
         self, service: str, now: timedelta
     ) -> list[RegisteredTarget]:
-        usable = self.directory.registry.usable(service, now)
-        return [
-            target
-            for target in usable
-            if target.may_have_permit(Urgency.LIVE, now)
-        ]
+        return self.directory.registry.find_open(service, Urgency.LIVE, now)
 
     def _find_reachable(
         self, service: str, now: timedelta
@@ -146,9 +141,7 @@
         return [
             target
             for target in registered
-            if not target.is_leaving
-            and not target.unreachable
-            and target.may_have_permit(Urgency.LIVE, now)
+            if target.is_reachable(Urgency.LIVE, now)
         ]
 
     def _make_refusal(
--- a/packages/rollouts/sequoia_rollouts/permit_rows.py
+++ b/packages/rollouts/sequoia_rollouts/permit_rows.py
@@ -4,10 +4,10 @@
 
 import curio
 from attrs import define, field, frozen
+from sequoia_policy.announcements import FORGET_LIMIT_AFTER
 from sequoia_policy.errors import ServiceError
 from sequoia_policy.permits import PermitState
 from sequoia_policy.registries import Registration
-from sequoia_policy.target_limits import FORGET_AFTER
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
@@ -100,4 +100,4 @@
         ServiceError: If the row cannot be decoded.
     """
     state = decode(row.body or b'', PermitState)
-    return now - max(state.named_at, state.due_at) > FORGET_AFTER
+    return now - max(state.named_at, state.due_at) > FORGET_LIMIT_AFTER
--- a/packages/rollouts/sequoia_rollouts/permits.py
+++ b/packages/rollouts/sequoia_rollouts/permits.py
@@ -5,6 +5,7 @@
 
 import curio
 from attrs import define, field
+from sequoia_policy.announcements import AnnouncementTable, TargetLimit
 from sequoia_policy.budgets import RateLimit
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
@@ -16,7 +17,6 @@
 )
 from sequoia_policy.rates import UNKNOWN_FLEET_SIZE
 from sequoia_policy.registries import RegisteredTarget, Registration
-from sequoia_policy.target_limits import TargetLimit, TargetLimits
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 
@@ -49,7 +49,7 @@
     While the store does not respond, each host uses an equal part of a limit.
 
     Attributes:
-        limits: Limits named in responses to this host.
+        announcements: What targets announced; the limits are among it.
         rows: The stored permits.
         queues: Waiting requests by name of the target.
         store_retry_at: When to call the store again after it failed.
@@ -60,7 +60,7 @@
     clock: Clock
     heartbeats: HeartbeatService
     rng: random.Random
-    limits: TargetLimits = field(factory=TargetLimits)
+    announcements: AnnouncementTable = field(factory=AnnouncementTable)
     queues: dict[str, PermitQueue] = field(factory=dict)
     store_retry_at: timedelta = timedelta()
     budget: RateLimit = field(factory=lambda: RateLimit(1, BUDGET_BURST))
@@ -78,13 +78,13 @@
         Raises:
             ServiceError: With code TARGET_LIMITED if none is free.
         """
-        limit = self.limits.find(target.registration)
+        limit = target.announced.find_limit(self.clock.elapsed())
         if limit is None:
             return
         wait = await self._take(target, limit, urgency)
         if wait <= NO_WAIT:
             return
-        target.record_no_permit(urgency, self.clock.elapsed() + wait)
+        target.no_permit_until[urgency] = self.clock.elapsed() + wait
         NO_PERMIT.write(
             target=target.name,
             urgency=urgency.value,
@@ -97,23 +97,22 @@
             retry_after=wait,
         )
 
-    def record_limit(
-        self, registration: Registration, per_second: float
-    ) -> None:
+    def record_limit(self, target: RegisteredTarget, per_second: float) -> None:
         """Record that a response named a limit."""
-        if self.limits.record(registration, per_second, self.clock.elapsed()):
-            LIMIT_NAMED.write(target=registration.name, per_second=per_second)
+        now = self.clock.elapsed()
+        if target.announced.record_limit(per_second, now):
+            LIMIT_NAMED.write(target=target.name, per_second=per_second)
 
     async def record_no_limit(
-        self, registration: Registration, sent_at: timedelta
+        self, target: RegisteredTarget, sent_at: timedelta
     ) -> None:
         """Record that a response to a request sent at a time named none.
 
         The other hosts find the end of the limit in the stored state.
         """
-        if self.limits.lift(registration, sent_at):
-            LIMIT_LIFTED.write(target=registration.name, found_by='response')
-            await curio.spawn(self._store_end, registration, daemon=True)
+        if target.announced.lift_limit(sent_at):
+            LIMIT_LIFTED.write(target=target.name, found_by='response')
+            await curio.spawn(self._store_end, target.registration, daemon=True)
 
     async def _take(
         self,
@@ -148,7 +147,7 @@
             now = self.heartbeats.store_clock.read()
             state = self._view(key, limit, now)
             if not state.is_limited:
-                self._apply_end(target.registration)
+                self._apply_end(target)
                 return NO_WAIT
             free = state.count_free(urgency, now)
             if not free:
@@ -193,14 +192,17 @@
         return self.unshared.take(name, limit.per_second, hosts, now)
 
     def _may_call_store(self) -> bool:
+        now = self.clock.elapsed()
+        limits = self.announcements.list_limits(now).values()
         self.budget.per_second = self.heartbeats.rates.find_permit_rate(
-            self.limits.sum_rates(), self.heartbeats.count_hosts()
+            sum(limit.per_second for limit in limits),
+            self.heartbeats.count_hosts(),
         )
-        return self.budget.try_acquire(self.clock.elapsed())
+        return self.budget.try_acquire(now)
 
-    def _apply_end(self, registration: Registration) -> None:
-        self.limits.lift(registration, self.clock.elapsed())
-        LIMIT_LIFTED.write(target=registration.name, found_by='store')
+    def _apply_end(self, target: RegisteredTarget) -> None:
+        target.announced.lift_limit(self.clock.elapsed())
+        LIMIT_LIFTED.write(target=target.name, found_by='store')
 
     def _record_store_failure(self, name: str, detail: str) -> None:
         self.store_retry_at = self.clock.elapsed() + STORE_BACKOFF
--- a/packages/rollouts/sequoia_rollouts/placers.py
+++ b/packages/rollouts/sequoia_rollouts/placers.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 from attrs import define, field, frozen
@@ -14,7 +14,7 @@
     find_search_pause,
     find_subset_size,
 )
-from sequoia_policy.target_choices import median_seconds
+from sequoia_policy.target_choices import choose_fastest
 
 from sequoia_rollouts.directories import Directory
 
@@ -83,8 +83,7 @@
             ranked,
             lambda target: (
                 target.running < target.slots
-                and target.is_usable(now)
-                and target.may_have_permit(Urgency.ROLLOUT, now)
+                and target.is_open(Urgency.ROLLOUT, now)
                 and requirements.is_met_by(target, now)
             ),
         )
@@ -101,8 +100,7 @@
             self._rank(service, self.name, now),
             lambda target: (
                 target.running < limit_reward_calls(target.slots, hosts)
-                and target.is_usable(now)
-                and target.may_have_permit(Urgency.ROLLOUT, now)
+                and target.is_open(Urgency.ROLLOUT, now)
             ),
         )
         return choose_fastest(free, now)
@@ -160,16 +158,6 @@
         self.search_after[requirements] = now + find_search_pause(targets)
 
 
-def choose_fastest(
-    free: Collection[RegisteredTarget], now: timedelta
-) -> RegisteredTarget | None:
-    """Return the target with the lowest estimate, or None if there is none."""
-    if not free:
-        return None
-    median = median_seconds(free, now)
-    return min(free, key=lambda target: target.estimate(now, median))
-
-
 def limit_reward_calls(slots: int, hosts: int) -> int:
     """Return the number of reward calls that one host may run at a target.
 
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/senders.py
@@ -9,7 +9,7 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.permits import Urgency
-from sequoia_policy.registries import RegisteredTarget, Registration
+from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.clients import Call, HttpClient, Timeouts, limit_call_time
 from sequoia_wire.logs import Log, LogKind
@@ -78,13 +78,11 @@
             ServiceError: With code TARGET_LIMITED if none is free.
         """
 
-    def record_limit(
-        self, registration: Registration, per_second: float
-    ) -> None:
+    def record_limit(self, target: RegisteredTarget, per_second: float) -> None:
         """Record that a response named a limit."""
 
     async def record_no_limit(
-        self, registration: Registration, sent_at: timedelta
+        self, target: RegisteredTarget, sent_at: timedelta
     ) -> None:
         """Record that a response to a request sent at a time named none."""
 
@@ -234,16 +232,15 @@
         """Record the limit that a response names, or that it names none."""
         if response.status == MISDIRECTED_STATUS:
             return  # another target responded
-        registration = target.registration
         if received.max_rate is not None:
-            self.permits.record_limit(registration, received.max_rate)
+            self.permits.record_limit(target, received.max_rate)
             LIMITED_RESPONSE.write(
                 request_id=received.request_id,
                 target=target.name,
                 status=response.status,
             )
         elif response.status < MIN_UNSUCCESSFUL_STATUS:
-            await self.permits.record_no_limit(registration, sent_at)
+            await self.permits.record_no_limit(target, sent_at)
 
 
 def strip_hop_by_hop_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
--- a/packages/rollouts/tests/test_hedges.py
+++ b/packages/rollouts/tests/test_hedges.py
@@ -4,6 +4,7 @@
 
 import curio
 from engine_standin import SERVICE
+from sequoia_policy.permits import Urgency
 from sequoia_policy.routing import Route, RouteKind
 from sequoia_rollouts.hedges import RouteDurations
 from sites import make_manifest, open_site, wait_until
@@ -115,7 +116,7 @@
             await wait_until(lambda: not slow.running, 1)
             host = site.hosts[0]
             now = host.clock.elapsed()
-            usable = host.directory.registry.usable('app', now)
+            usable = host.directory.registry.find_open('app', Urgency.LIVE, now)
             return slow.name, [target.name for target in usable]
 
     slow, usable = curio.run(main)
--- a/packages/rollouts/tests/test_leaving.py
+++ b/packages/rollouts/tests/test_leaving.py
@@ -29,11 +29,17 @@
     return site.hosts[0].directory.registry.targets.get(server.name)
 
 
+def list_leaving(host):
+    """Return all processes that announced to the host that they leave."""
+    processes = host.directory.registry.announcements.processes
+    return [process for process, known in processes.items() if known.leaving]
+
+
 async def let_leave(site, server):
     """Make a server leave and wait until a response said so."""
     server.leaving = True
     async with curio.timeout_after(DEFAULT_TIMEOUT):
-        while not find_target(site, server).said_leaving:
+        while not find_target(site, server).announced.leaving:
             await call_often(site, '/live/a', 1)
 
 
@@ -134,8 +140,7 @@
             server = site.scorers[0]
             server.leaving, server.name = True, 'another'
             await call_often(site, '/live/a')
-            registry = site.hosts[0].directory.registry
-            return registry.departures.processes
+            return list_leaving(site.hosts[0])
 
     assert not curio.run(main)
 
@@ -148,7 +153,7 @@
             host = await open_streams(site)
             leaving = site.engines[0]
             leaving.leaving = True
-            while not find_target(site, leaving).said_leaving:
+            while not find_target(site, leaving).announced.leaving:
                 await fetch_stream(site, host)
             before = len(leaving.runs)
             await fetch_stream(site, host)
@@ -172,7 +177,9 @@
             leaving = site.engines[0]
             leaving.leaving = True
             await site.submit(site.hosts[0], count=12)
-            await wait_until(lambda: find_target(site, leaving).said_leaving)
+            await wait_until(
+                lambda: find_target(site, leaving).announced.leaving
+            )
             await wait_until(lambda: has_listed_all_runs(site, leaving))
             await curio.sleep(0.5)
             return len(leaving.runs), len(site.store.find('results'))
@@ -198,7 +205,9 @@
             site.store.put(
                 'op', f'version/{MODEL}', {'model': MODEL, 'version': 2}
             )
-            await wait_until(lambda: find_target(site, leaving).said_leaving)
+            await wait_until(
+                lambda: find_target(site, leaving).announced.leaving
+            )
             await site.submit(site.hosts[0])
             await site.read_all_results(site.hosts[0])
             return leaving.runs, leaving.orders
@@ -272,7 +281,7 @@
         ) as site:
             _head, chunks = await fetch_stream(site, site.hosts[0])
             targets = site.hosts[0].directory.registry.targets.values()
-            return chunks, [target.said_leaving for target in targets]
+            return chunks, [target.announced.leaving for target in targets]
 
     chunks, words = curio.run(main)
     assert len(chunks) == 3
@@ -287,8 +296,8 @@
             answer_whole, scorers=[answer_interim_and_leave]
         ) as site:
             statuses = await call_often(site, '/live/a', 4)
-            return statuses, site.hosts[0].directory.registry.departures
+            return statuses, list_leaving(site.hosts[0])
 
-    statuses, departures = curio.run(main)
+    statuses, leaving = curio.run(main)
     assert statuses == [200] * 4
-    assert not departures.processes
+    assert not leaving
--- a/packages/rollouts/tests/test_limits.py
+++ b/packages/rollouts/tests/test_limits.py
@@ -20,16 +20,21 @@
     assert PlatformDialect().read_labels(head).max_rate == rate
 
 
+def find_limits(host):
+    """Return the limits that targets named to a host, by name of the target."""
+    announcements = host.directory.registry.announcements
+    return announcements.list_limits(host.clock.elapsed())
+
+
 def test_response_names_limit_until_a_later_one_does_not():
     async def main():
         async with open_site() as site:
             host, scorer = site.hosts[0], site.scorers[0]
-            limits = host.live.sender.permits.limits
             found = []
             for limit in ('2.4', '2.4', ''):
                 scorer.limit = limit
                 await site.call(host, 'POST', '/live/a', attempt_id='r1')
-                found.append(limits.by_name.get(scorer.name))
+                found.append(find_limits(host).get(scorer.name))
             return found
 
     first, second, lifted = curio.run(main)
@@ -43,7 +48,7 @@
             site.scorers[0].limit = '2.4'
             site.scorers[0].wrong_ids = 9
             await site.call(site.hosts[0], 'POST', '/once/a', attempt_id='r1')
-            return site.hosts[0].live.sender.permits.limits.by_name
+            return find_limits(site.hosts[0])
 
     assert not curio.run(main)
 
@@ -54,7 +59,7 @@
             site.engines[0].limit = '50'
             await site.submit(site.hosts[0], count=2)
             await site.read_all_results(site.hosts[0])
-            return site.hosts[0].live.sender.permits.limits.by_name
+            return find_limits(site.hosts[0])
 
     limits = curio.run(main)
     assert limits['e0'].per_second == 50
--- a/packages/rollouts/tests/test_permits.py
+++ b/packages/rollouts/tests/test_permits.py
@@ -58,6 +58,10 @@
     )
     told_at: timedelta | None = None
 
+    def __attrs_post_init__(self):
+        process = self.target.registration.process
+        self.target.announced = self.permits.announcements.find(process)
+
 
 @define(eq=False)
 class Fleet:
@@ -99,7 +103,7 @@
 
     async def send(self, host, urgency):
         now = self.clock.now
-        if not host.target.may_have_permit(urgency, now):
+        if not host.target.is_open(urgency, now):
             return
         try:
             await host.permits.acquire(host.target, urgency)
@@ -109,10 +113,10 @@
         if host.told_at is not None and now >= host.told_at + TOLD_AFTER:
             self.arrivals.append(now)
         if self.limit:
-            host.permits.record_limit(REGISTRATION, self.limit)
+            host.permits.record_limit(host.target, self.limit)
             host.told_at = host.told_at or now
         else:
-            await host.permits.record_no_limit(REGISTRATION, now)
+            await host.permits.record_no_limit(host.target, now)
             host.told_at = None
 
     def check_limit(self):
@@ -199,7 +203,7 @@
         await fleet.run(10, 50)
 
     fleet = simulate(scenario, size, 2, 1)
-    limited = [host for host in fleet.hosts if host.permits.limits.by_name]
+    limited = [host for host in fleet.hosts if host.target.announced.limit]
     assert len(limited) < size / 4
 
 
@@ -208,7 +212,7 @@
         fleet = Fleet(1, 20, random.Random(1))
         host = fleet.hosts[0]
         host.store.delay = 0.01
-        host.permits.record_limit(REGISTRATION, 20)
+        host.permits.record_limit(host.target, 20)
         async with curio.TaskGroup() as group:
             for _ in range(8):
                 await group.spawn(
--- a/packages/rollouts/tests/test_stalls.py
+++ b/packages/rollouts/tests/test_stalls.py
@@ -141,7 +141,7 @@
     async def acquire(self, target, urgency):
         """Let each request pass."""
 
-    async def record_no_limit(self, registration, sent_at):
+    async def record_no_limit(self, target, sent_at):
         """Record nothing."""
 
 
--- a/packages/rollouts/tests/test_store_clock.py
+++ b/packages/rollouts/tests/test_store_clock.py
@@ -149,6 +149,12 @@
     return site.store.read_clock() / 1000
 
 
+def find_limits(host):
+    """Return the limits that targets named to a host, by name of the target."""
+    announcements = host.directory.registry.announcements
+    return announcements.list_limits(host.clock.elapsed())
+
+
 async def call_until(site, host, table, calls=60):
     """Send requests until the store has rows of a table; return its permits.
 
@@ -191,7 +197,7 @@
             for limit in (HIGH_LIMIT, ''):
                 site.scorers[0].limit = limit
                 await call_until(site, host, '', calls=5)
-            assert not host.live.sender.permits.limits.by_name
+            assert not find_limits(host)
             await curio.sleep(0.3)
             return site.store.find('permits')
 
