--- /dev/null
+++ b/packages/rollouts/tests/stop_soak.py
@@ -0,0 +1,379 @@
+"""Real processes that are stopped in turn, while callers keep their connections.
+
+The store and the targets are stand-ins in the process of the test. Each seed draws
+how long targets work, how many requests they run at a time, and which further
+signals come beside a stop.
+"""
+
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import curio
+import h11
+from attrs import define, field, frozen
+from engine_standin import MODEL, SERVICE, EngineStandin, PlainStandin
+from sequoia_wire.clients import HttpClient
+from sequoia_wire.http_events import read_event
+from sequoia_wire.messages import Address, RequestHead, encode_headers
+from sites import AUTHORITY, CALL_TIMEOUTS, make_manifest
+from store_standin import StoreStandin
+
+ROOT = Path(__file__).parents[3]
+FRONT_PORT, READY_PORT, CONTROL_PORT = 8161, 8167, 8166
+GRACE = 8.0  # seconds from SIGTERM to SIGKILL
+WARM_UP = 2.5  # seconds
+READY_TIMEOUT = 20.0  # seconds
+CALLERS = 40
+MAX_WORK = 4.0  # seconds
+DEADLINE = 9000  # milliseconds
+EXCUSED_UNTIL = 3.0  # seconds after SIGTERM; when a request was sent
+EXCUSED_FROM = GRACE * 5 / 6  # seconds after it; when the target still worked
+CROSSING = 0.2  # seconds; a request and the close of its connection may cross
+PATHS = ('/once/a', '/live/a', '/stream/a')
+STREAM_ROUTE = {
+    'name': 'stream',
+    'host': AUTHORITY,
+    'pathPrefix': '/stream/',
+    'kind': 'streaming',
+    'service': SERVICE,
+    'timeoutMs': 10000,
+    'targetLatencyMs': 500,
+    'maxAttempts': 2,
+    'resumable': True,
+}
+
+
+@define(eq=False)
+class SlowPlainStandin(PlainStandin):
+    """A plain server that works for a random time on each request.
+
+    Attributes:
+        began: When it began to work on each request, by id.
+    """
+
+    rng: random.Random = field(factory=random.Random)
+    began: dict = field(factory=dict)
+
+    async def work(self, exchange):
+        request_id = exchange.head.header('attempt-id')
+        self.began[request_id] = time.monotonic()
+        self.delay = self.rng.uniform(0.03, MAX_WORK)
+        await super().work(exchange)
+
+
+@frozen
+class SeenRequest:
+    """What a caller saw of one request; times in seconds.
+
+    Attributes:
+        status: Of the complete response; None if the connection ended before.
+    """
+
+    id: str
+    path: str
+    host: str
+    sent_at: float
+    ended_at: float
+    status: int | None
+
+
+@define(eq=False)
+class HostProcess:
+    """A host as the platform runs it.
+
+    Attributes:
+        stops: When SIGTERM was first sent to each of its processes, by time.
+    """
+
+    name: str
+    ip: str
+    folder: Path
+    store: Address
+    process: subprocess.Popen | None = None
+    stops: list = field(factory=list)
+
+    def start(self):
+        settings = self.folder / f'{self.name}.conf'
+        fields = {
+            'node': self.name,
+            'role': 'entry',
+            'ip': self.ip,
+            'zone': 'z1',
+            'region': 'r1',
+            'listen.front': f'{self.ip}:{FRONT_PORT}',
+            'listen.ready': f'{self.ip}:{READY_PORT}',
+            'listen.control': f'{self.ip}:{CONTROL_PORT}',
+            'internalPorts': '7720,7735',
+            'limits.cores': '1',
+            'bounds.graceS': f'{GRACE:.0f}',
+            'bounds.requireFence': 'true',
+            'bounds.leaseMs': '3000',
+            'platform.address': self.store,
+            'platform.writesPerS': '800',
+            'platform.readsPerS': '2000',
+            'platform.partWritesS': '150',
+        }
+        lines = [f'{key}={text}\n' for key, text in fields.items()]
+        settings.write_text(''.join(lines))
+        log = (self.folder / f'{self.name}.log').open('ab')
+        with log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / 'platform' / 'start.py')],
+                env={**os.environ, 'SEQUOIASHED_SETTINGS': str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait_until_ready(self):
+        head = RequestHead('GET', '/v1/ready')
+        client = HttpClient()
+        async with curio.timeout_after(READY_TIMEOUT):
+            while True:
+                assert self.process.poll() is None, self.name
+                try:
+                    response = await client.fetch(
+                        Address(self.ip, READY_PORT), head, b'', CALL_TIMEOUTS
+                    )
+                except Exception:  # noqa: BLE001
+                    response = None
+                if response is not None and response.status == 200:
+                    return
+                await curio.sleep(0.05)
+
+    async def stop(self, rng):
+        """Stop it, with further signals beside; return how long it took."""
+        self.stops.append(time.monotonic())
+        self.signal(signal.SIGTERM)
+        extra = sorted(rng.uniform(0, GRACE) for _ in range(rng.randrange(4)))
+        while self.process.poll() is None:
+            lasted = time.monotonic() - self.stops[-1]
+            while extra and extra[0] <= lasted:
+                extra.pop(0)
+                self.signal(rng.choice((signal.SIGHUP, signal.SIGTERM)))
+            await curio.sleep(0.01)
+        return time.monotonic() - self.stops[-1]
+
+
+@define(eq=False)
+class Caller:
+    """Sends one request after the other on a connection that it keeps."""
+
+    soak: 'StopSoak'
+    number: int
+    rng: random.Random
+    count: int = 0
+
+    async def run(self):
+        while not self.soak.is_over:
+            host = self.rng.choice(self.soak.hosts)
+            try:
+                sock = await curio.open_connection(host.ip, FRONT_PORT)
+            except OSError:
+                await curio.sleep(0.05)
+                continue
+            async with sock:
+                await self.use(sock, host)
+
+    async def use(self, sock, host):
+        """Send requests until the connection ends or is to be closed."""
+        state = h11.Connection(our_role=h11.CLIENT)
+        while not self.soak.is_over:
+            self.count += 1
+            request_id = f'c{self.number}-{self.count}'
+            path = self.rng.choice(PATHS)
+            try:
+                await sock.sendall(encode_request(state, path, request_id))
+            except (OSError, h11.LocalProtocolError):
+                return
+            sent_at = time.monotonic()
+            status = await read_status(sock, state)
+            self.soak.seen.append(
+                SeenRequest(
+                    request_id,
+                    path,
+                    host.name,
+                    sent_at,
+                    time.monotonic(),
+                    status,
+                )
+            )
+            if status is None or state.our_state is not h11.DONE:
+                return
+            if state.their_state is not h11.DONE:
+                return
+            state.start_next_cycle()
+            if status == 503:
+                await curio.sleep(0.1)
+
+
+def encode_request(state, path, request_id):
+    headers = encode_headers(
+        {
+            'host': AUTHORITY,
+            'attempt-id': request_id,
+            'deadline-ms': str(DEADLINE),
+            'model': MODEL,
+            'content-length': '1',
+        }
+    )
+    request = h11.Request(method='POST', target=path, headers=headers)
+    events = (request, h11.Data(b'b'), h11.EndOfMessage())
+    return b''.join(state.send(event) for event in events)
+
+
+async def read_status(sock, state):
+    """Return the status of a complete response; None if there is none."""
+    status = None
+    try:
+        while True:
+            event = await read_event(sock, state, CALL_TIMEOUTS.progress)
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.EndOfMessage):
+                return status
+            elif not isinstance(event, h11.Data):
+                return None
+    except (OSError, curio.TaskTimeout, h11.RemoteProtocolError):
+        return None
+
+
+@define(eq=False)
+class StopSoak:
+    """Two hosts, their targets and callers, and what the callers saw.
+
+    Attributes:
+        is_over: Whether callers send no further request.
+        durations: How long each stop took, in seconds.
+    """
+
+    seed: int
+    folder: Path
+    store: StoreStandin = field(factory=StoreStandin)
+    servers: list = field(factory=list)
+    hosts: list = field(factory=list)
+    seen: list = field(factory=list)
+    durations: list = field(factory=list)
+    is_over: bool = False
+
+    async def run(self):
+        """Stop each host in turn under load, and start it again."""
+        rng = random.Random(self.seed)
+        self.servers = make_servers(rng)
+        async with curio.TaskGroup(wait=None) as group:
+            for server in (self.store.server, *self.list_http_servers()):
+                server.open()
+                await group.spawn(server.run)
+            self.publish()
+            try:
+                await self.play(rng, group)
+            finally:
+                for host in self.hosts:
+                    host.process.kill()
+                    host.process.wait()
+
+    def list_http_servers(self):
+        return [server.server for server in self.servers]
+
+    def publish(self):
+        for server in self.servers:
+            self.store.put('servers', server.name, server.entry())
+        manifest = make_manifest(4)
+        routes = [{**route, 'timeoutMs': 10000} for route in manifest['routes']]
+        manifest['routes'] = [*routes, STREAM_ROUTE]
+        self.store.put('op', 'config', manifest)
+
+    async def play(self, rng, group):
+        network = f'127.{rng.randrange(16, 250)}.{os.getpid() % 250}'
+        for number in (1, 2):
+            host = HostProcess(
+                f'h{number}',
+                f'{network}.{number}',
+                self.folder,
+                self.store.server.address,
+            )
+            self.hosts.append(host)
+            host.start()
+        for host in self.hosts:
+            await host.wait_until_ready()
+        callers = []
+        for number in range(CALLERS):
+            caller = Caller(self, number, random.Random(rng.random()))
+            callers.append(await group.spawn(caller.run))
+        await curio.sleep(WARM_UP)
+        for host in self.hosts:
+            self.durations.append(await host.stop(rng))
+            host.start()
+            await host.wait_until_ready()
+        self.is_over = True
+        for task in callers:
+            await task.join()
+
+    def find_broken(self):
+        """Return what callers must not have seen."""
+        runs = [run[0] for server in self.servers for run in server.runs]
+        broken = []
+        for request in self.seen:
+            count = runs.count(request.id)
+            if request.path.startswith('/once/') and count > 1:
+                broken.append(f'ran {count} times: {request}')
+            if request.path.startswith('/once/') and count:
+                if request.status in {408, 421, 429, 503}:
+                    broken.append(f'said not to have run: {request}')
+            if request.status is None and not self.is_excused(request, count):
+                broken.append(f'no response: {request}, ran {count} times')
+        return broken
+
+    def is_excused(self, request, count):
+        """Return whether a request may end without a response.
+
+        Either its target worked until the last sixth of the grace on a request
+        that was sent early, or it crossed the close and was not passed on.
+        """
+        if not count:
+            return request.ended_at - request.sent_at <= CROSSING
+        if not self.has_begun(request):
+            return False
+        host = next(host for host in self.hosts if host.name == request.host)
+        stops = [at for at in host.stops if at <= request.ended_at]
+        if not stops:
+            return False
+        is_early = request.sent_at <= stops[-1] + EXCUSED_UNTIL
+        return is_early and request.ended_at >= stops[-1] + EXCUSED_FROM
+
+    def has_begun(self, request):
+        """Return whether a target worked on a request when it ended."""
+        if request.path == '/stream/a':
+            return True
+        plain = [
+            server
+            for server in self.servers
+            if isinstance(server, SlowPlainStandin)
+        ]
+        times = [server.began.get(request.id) for server in plain]
+        return any(at is not None and at < request.ended_at for at in times)
+
+
+def make_servers(rng):
+    slots = rng.choice((1, 2, 40))
+    plain = [
+        SlowPlainStandin(f'p{number}', slots=slots, rng=rng)
+        for number in range(3)
+    ]
+    engines = [
+        EngineStandin(
+            f'e{number}',
+            words=rng.randrange(3, 60),
+            pace=rng.uniform(0.01, 0.15),
+        )
+        for number in range(2)
+    ]
+    return [*plain, *engines]
