Finish requests in flight though the hand-over of a stop fails

What callers would see: an exception while a stopping host hands its submissions over (a submission removed meanwhile, by reading) ended the whole stop, and the requests in flight with it, without a response.

Cause: both run in one group of tasks, in which the failure of one cancels the other.

Change: a failed hand-over is logged (host: hand-over failed) and the calls are finished.

Evidence: test_failed_hand_over_cuts_off_no_request found no response before, and 200 with the change.

--- a/packages/rollouts/sequoia_rollouts/shutdowns.py
+++ b/packages/rollouts/sequoia_rollouts/shutdowns.py
@@ -26,6 +26,7 @@
 REQUESTS_ABORTED = log.event(
     'requests aborted', 'requests', kind=LogKind.FAILURE
 )
+HAND_OVER_FAILED = log.event('hand-over failed', 'error', kind=LogKind.FAILURE)
 NOT_HANDED_OVER = log.event(
     'not handed over', 'submission', 'detail', kind=LogKind.FAILURE
 )
@@ -59,7 +60,7 @@
 
     async def _finish(self) -> None:
         async with curio.TaskGroup() as group:
-            await group.spawn(self._hand_over)
+            await group.spawn(self._try_hand_over)
             await group.spawn(self._end_calls)
 
     async def _answer_the_rest(self) -> None:
@@ -75,6 +76,13 @@
         while self.clock.elapsed() < time:
             await curio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
 
+    async def _try_hand_over(self) -> None:
+        """Hand over; a failure of it must not cut off requests in flight."""
+        try:
+            await self._hand_over()
+        except Exception as error:  # noqa: BLE001
+            HAND_OVER_FAILED.write(error=repr(error))
+
     async def _hand_over(self) -> None:
         """Finish items in flight, then release the rest to other hosts."""
         with suppress(ServiceError):
--- a/packages/rollouts/tests/test_stops.py
+++ b/packages/rollouts/tests/test_stops.py
@@ -193,6 +193,26 @@
     assert run_stopped(work, engines=1).ended['r1'][0] is None
 
 
+def test_failed_hand_over_cuts_off_no_request():
+    """One exception in it ended the stop, and with it the process."""
+
+    async def fail():
+        raise LookupError('removed meanwhile')
+
+    async def work(stopped):
+        stopped.host.weights = Failing(fail)
+        stopped.site.scorers[0].delay = 1.0
+        await stopped.send('/once/a', 'r1')
+        await curio.sleep(0.2)
+
+    assert run_stopped(work).ended['r1'][0] == 200
+
+
+@define
+class Failing:
+    release: object
+
+
 def test_target_of_a_request_that_the_host_gave_up_is_not_blamed():
     async def work(stopped):
         stopped.site.scorers[0].delay = NEVER
