Reward the items of earlier steps of a model first

What callers saw: after an outage of the store two steps of a model run at a time, and the older one, due four seconds earlier, ended just too late.

Cause: reward calls wait for few slots, ranked by how complete their group is, whatever its step.

Change: an earlier step of the same model goes first while it is not late itself.

--- a/packages/policy/sequoia_policy/submissions.py
+++ b/packages/policy/sequoia_policy/submissions.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from attrs import define, field, frozen
@@ -149,15 +149,22 @@
     )
 
 
+def return_zero() -> int:
+    """Return zero."""
+    return 0
+
+
 @frozen(order=True)
 class GroupRank:
-    """Sort key for the groups of a submission; the lowest runs first.
+    """Sort key for the groups of all submissions; the lowest runs first.
 
     Attributes:
+        later_steps: Minus the number of later steps of the same model.
         unfinished: Number of items of the group without a result.
         position: Index of the group in the submission.
     """
 
+    later_steps: int
     unfinished: int
     position: int
 
@@ -169,9 +176,14 @@
     Equally complete groups rank in the order of the submission, where
     carried-over groups stand first. Long items start before short ones, so
     that the step does not end with a long one running alone.
+
+    Attributes:
+        count_later_steps: Returns the number of later steps of the same model
+            that this one must not fall behind.
     """
 
     submission: Submission
+    count_later_steps: Callable[[], int] = return_zero
     waiting: list[Item] = field(init=False)
     failures: Counter[str] = field(factory=Counter)
     unfinished: Counter[str] = field(init=False)
@@ -212,10 +224,15 @@
         """Return the rank of an item's group: nearly complete groups first.
 
         The trainer waits for a number of complete groups, not for all items.
-        Interleaving several groups would delay each of them.
+        Interleaving several groups would delay each of them. An earlier step
+        is due earlier; after an outage several steps run at a time.
         """
         group = item.group
-        return GroupRank(self.unfinished[group], self.group_positions[group])
+        return GroupRank(
+            -self.count_later_steps(),
+            self.unfinished[group],
+            self.group_positions[group],
+        )
 
     def count_failure(self, key: str) -> int:
         """Count a failed run of an item or reward call; return the new count."""
--- a/packages/policy/tests/test_submissions.py
+++ b/packages/policy/tests/test_submissions.py
@@ -42,6 +42,15 @@
     assert queue.rank_group(items[2]) < queue.rank_group(items[0])
 
 
+def test_groups_of_an_earlier_step_rank_first():
+    items = [make_item(1, 'a'), make_item(2, 'b'), make_item(3, 'b')]
+    later = make_queue(items[0])
+    earlier = make_queue(*items[1:])
+    assert later.rank_group(items[0]) < earlier.rank_group(items[1])
+    earlier.count_later_steps = lambda: 1
+    assert earlier.rank_group(items[1]) < later.rank_group(items[0])
+
+
 def test_finished_items_count_for_the_rank_of_their_group():
     items = [make_item(1, 'a'), make_item(2, 'b'), make_item(3, 'b')]
     queue = make_queue(*items)
--- a/packages/rollouts/sequoia_rollouts/runners.py
+++ b/packages/rollouts/sequoia_rollouts/runners.py
@@ -7,7 +7,12 @@
 from attrs import define, field, frozen
 from sequoia_policy.preconditions import may_judge_route
 from sequoia_policy.routing import Configuration, Route
-from sequoia_policy.submissions import Item, Submission, WorkQueue
+from sequoia_policy.submissions import (
+    Item,
+    Submission,
+    WorkQueue,
+    return_zero,
+)
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.generations import Generation
@@ -55,6 +60,8 @@
         generations: Partial generations of items without a result, by item id.
         is_confirmed: Returns whether no other host may have taken over since
             this one knew that it owned the submission.
+        count_later_steps: Returns the number of later steps of the model that
+            run on this host and must wait for this one.
         draining: Whether to start no further items.
     """
 
@@ -64,6 +71,7 @@
     acceptance: Acceptance
     generations: dict[str, Generation] = field(factory=dict)
     is_confirmed: Callable[[], bool] = lambda: True
+    count_later_steps: Callable[[], int] = return_zero
     draining: bool = False
     queue: WorkQueue = field(init=False)
     item_runner: ItemRunner = field(init=False)
@@ -72,7 +80,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Queue the items that have no result yet."""
-        self.queue = WorkQueue(self.submission)
+        self.queue = WorkQueue(self.submission, self.count_later_steps)
         finished = {item_result.id for item_result in self.recorder.stored}
         self.queue.discard_finished(finished)
         for item_id in finished & self.generations.keys():
@@ -116,6 +124,12 @@
         """Whether no item runs and no result waits to be written."""
         return not self.item_runner.active and not self.recorder.pending
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the trainer may have stopped waiting for the results."""
+        route = self._find_route()
+        return route is None or self._find_age() > route.due
+
     @property
     def may_dispatch(self) -> bool:
         """Whether to send further items."""
@@ -182,5 +196,7 @@
         )
 
     def _is_expired(self, route: Route) -> bool:
-        age = self.dependencies.clock.elapsed() - self.acceptance.time
-        return age > route.max_age
+        return self._find_age() > route.max_age
+
+    def _find_age(self) -> timedelta:
+        return self.dependencies.clock.elapsed() - self.acceptance.time
--- a/packages/rollouts/sequoia_rollouts/submissions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 
 import curio
 from attrs import define, evolve, field
@@ -177,10 +178,26 @@
             acceptance,
             stored.generations,
             is_confirmed=self.ownership.is_confirmed,
+            count_later_steps=partial(self._count_later_steps, submission),
         )
         self.runners[submission.id] = runner
         await runner.start()
 
+    def _count_later_steps(self, submission: Submission) -> int:
+        """Return how many later steps of a model must wait for one.
+
+        A step that is late already delays no other.
+        """
+        later = sum(
+            other.submission.model == submission.model
+            and other.submission.step > submission.step
+            for other in self.runners.values()
+        )
+        runner = self.runners.get(submission.id)
+        if later and runner and not runner.is_late:
+            return later
+        return 0
+
     async def _store_submission(
         self, submission: Submission
     ) -> OwnedSubmission | None:
