Let callers of the stop soak submit work too, and read it at the end

Cause: the report on a planned stop asks for every path; the soak had no submissions.

Change: one request in 25 is a small submission; each that was accepted must be readable at the host that was stopped last.

--- a/packages/rollouts/tests/sites.py
+++ b/packages/rollouts/tests/sites.py
@@ -253,6 +253,12 @@
     return True
 
 
+def find_limits(host):
+    """Return the limits that targets named to a host, by name of the target."""
+    announcements = host.directory.registry.announcements
+    return announcements.list_limits(host.clock.elapsed())
+
+
 async def wait_until(condition, seconds=DEFAULT_TIMEOUT):
     async with curio.timeout_after(seconds):
         while not condition():
--- a/packages/rollouts/tests/stop_soak.py
+++ b/packages/rollouts/tests/stop_soak.py
@@ -15,17 +15,19 @@
 
 import curio
 import h11
+import orjson
 from attrs import define, field, frozen
 from engine_standin import MODEL, SERVICE, EngineStandin, PlainStandin
 from sequoia_wire.clients import HttpClient
 from sequoia_wire.http_events import read_event
 from sequoia_wire.messages import Address, RequestHead, encode_headers
-from sites import AUTHORITY, CALL_TIMEOUTS, make_manifest
+from sites import AUTHORITY, CALL_TIMEOUTS, make_lot, make_manifest
 from store_standin import StoreStandin
 
 ROOT = Path(__file__).parents[3]
 FRONT_PORT, READY_PORT, CONTROL_PORT = 8161, 8167, 8166
 GRACE = 8.0  # seconds from SIGTERM to SIGKILL
+ACCEPTED = 202
 WARM_UP = 2.5  # seconds
 READY_TIMEOUT = 20.0  # seconds
 CALLERS = 40
@@ -35,6 +37,8 @@
 EXCUSED_FROM = GRACE * 5 / 6  # seconds after it; when the target still worked
 CROSSING = 0.2  # seconds; a request and the close of its connection may cross
 PATHS = ('/once/a', '/live/a', '/stream/a')
+SUBMISSION_PATH = '/train/x'
+SUBMISSION_SHARE = 0.04  # of the requests
 STREAM_ROUTE = {
     'name': 'stream',
     'host': AUTHORITY,
@@ -189,10 +193,11 @@
         while not self.soak.is_over:
             self.count += 1
             request_id = f'c{self.number}-{self.count}'
-            path = self.rng.choice(PATHS)
+            path, body = self.draw_request()
+            request = encode_request(state, path, request_id, body)
             try:
-                await sock.sendall(encode_request(state, path, request_id))
-            except (OSError, h11.LocalProtocolError):
+                await sock.sendall(request)
+            except OSError:
                 return
             sent_at = time.monotonic()
             status = await read_status(sock, state)
@@ -214,19 +219,25 @@
             if status == 503:
                 await curio.sleep(0.1)
 
+    def draw_request(self):
+        """Return the path and the body of the next request."""
+        if self.rng.random() < SUBMISSION_SHARE:
+            return SUBMISSION_PATH, orjson.dumps(make_lot(2))
+        return self.rng.choice(PATHS), b'b'
+
 
-def encode_request(state, path, request_id):
+def encode_request(state, path, request_id, body):
     headers = encode_headers(
         {
             'host': AUTHORITY,
             'attempt-id': request_id,
             'deadline-ms': str(DEADLINE),
             'model': MODEL,
-            'content-length': '1',
+            'content-length': str(len(body)),
         }
     )
     request = h11.Request(method='POST', target=path, headers=headers)
-    events = (request, h11.Data(b'b'), h11.EndOfMessage())
+    events = (request, h11.Data(body), h11.EndOfMessage())
     return b''.join(state.send(event) for event in events)
 
 
@@ -253,6 +264,7 @@
     Attributes:
         is_over: Whether callers send no further request.
         durations: How long each stop took, in seconds.
+        read_statuses: Status of the last read of each accepted submission.
     """
 
     seed: int
@@ -262,6 +274,7 @@
     hosts: list = field(factory=list)
     seen: list = field(factory=list)
     durations: list = field(factory=list)
+    read_statuses: dict = field(factory=dict)
     is_over: bool = False
 
     async def run(self):
@@ -316,6 +329,19 @@
         self.is_over = True
         for task in callers:
             await task.join()
+        await self.read_submissions()
+
+    async def read_submissions(self):
+        """Read each accepted submission at the host that was stopped last."""
+        client = HttpClient()
+        address = Address(self.hosts[-1].ip, FRONT_PORT)
+        headers = encode_headers({'host': AUTHORITY})
+        for request in self.seen:
+            if request.status == ACCEPTED:
+                path = f'/v1/lots/{request.id}'
+                head = RequestHead('GET', path, headers)
+                response = await client.fetch(address, head, b'', CALL_TIMEOUTS)
+                self.read_statuses[request.id] = response.status
 
     def find_broken(self):
         """Return what callers must not have seen."""
--- a/packages/rollouts/tests/test_limits.py
+++ b/packages/rollouts/tests/test_limits.py
@@ -4,7 +4,7 @@
 import pytest
 from sequoia_platform.engines import PlatformDialect
 from sequoia_wire.messages import ResponseHead, encode_headers
-from sites import open_site, wait_until
+from sites import find_limits, open_site, wait_until
 
 WINDOW = 4.0  # seconds
 SLACK = 1.5  # times the limit
@@ -20,12 +20,6 @@
     assert PlatformDialect().read_labels(head).max_rate == rate
 
 
-def find_limits(host):
-    """Return the limits that targets named to a host, by name of the target."""
-    announcements = host.directory.registry.announcements
-    return announcements.list_limits(host.clock.elapsed())
-
-
 def test_response_names_limit_until_a_later_one_does_not():
     async def main():
         async with open_site() as site:
--- a/packages/rollouts/tests/test_stop_soak.py
+++ b/packages/rollouts/tests/test_stop_soak.py
@@ -17,4 +17,5 @@
     curio.run(soak.run)
     assert soak.find_broken() == []
     assert max(soak.durations) < GRACE
+    assert set(soak.read_statuses.values()) <= {200}
     assert {request.status for request in soak.seen} >= {200}
--- a/packages/rollouts/tests/test_store_clock.py
+++ b/packages/rollouts/tests/test_store_clock.py
@@ -13,7 +13,7 @@
 from sequoia_rollouts.tables import COORDINATORS
 from sequoia_wire.codecs import encode
 from sequoia_wire.messages import RequestHead
-from sites import AUTHORITY, open_site, wait_until
+from sites import AUTHORITY, find_limits, open_site, wait_until
 
 AHEAD_MS = 2 * 3600 * 1000  # of the store's clock
 HIGH_LIMIT = '5000'  # requests per second
@@ -149,12 +149,6 @@
     return site.store.read_clock() / 1000
 
 
-def find_limits(host):
-    """Return the limits that targets named to a host, by name of the target."""
-    announcements = host.directory.registry.announcements
-    return announcements.list_limits(host.clock.elapsed())
-
-
 async def call_until(site, host, table, calls=60):
     """Send requests until the store has rows of a table; return its permits.
 
