--- a/packages/rollouts/tests/test_stop_soak.py
+++ b/packages/rollouts/tests/test_stop_soak.py
@@ -15,7 +15,8 @@
     """Requests were taken late in the grace and cut at its end."""
     soak = StopSoak(seed, tmp_path)
     curio.run(soak.run)
-    assert soak.find_broken() == []
+    broken = soak.find_broken()
+    assert not broken, '\n'.join(broken)
     assert max(soak.durations) < GRACE
     assert set(soak.read_statuses.values()) <= {200}
     assert {request.status for request in soak.seen} >= {200}
