--- a/packages/policy/tests/test_imports.py
+++ b/packages/policy/tests/test_imports.py
@@ -35,12 +35,45 @@
 }
 
 
+# Folders of sequoia_rollouts, each with those that it may import from.
+FOLDERS = PACKAGES / 'rollouts' / 'sequoia_rollouts'
+FOLDER_IMPORTS = {
+    'base': set(),
+    'storage': set(),
+    'fleet': {'base', 'storage'},
+    'targets': {'base', 'storage', 'fleet'},
+    'streaming': {'targets'},
+    'live': {'base', 'storage', 'fleet', 'targets', 'streaming'},
+    'submissions': {'base', 'storage', 'fleet', 'targets', 'streaming'},
+    'weights': {'base', 'storage', 'fleet', 'targets'},
+    'process': {
+        'base',
+        'storage',
+        'fleet',
+        'targets',
+        'live',
+        'submissions',
+        'weights',
+    },
+}
+
+
 def find_modules(package):
-    for source in (PACKAGES / package).glob('*/*.py'):
-        if source.parent.name != 'tests':
+    for source in (PACKAGES / package).rglob('*.py'):
+        if not {'tests', 'build'} & set(source.parts):
             yield source
 
 
+def find_folder_imports(source):
+    """Return the folders of sequoia_rollouts that a module imports from."""
+    names = [
+        node.module.split('.')
+        for node in ast.walk(ast.parse(source.read_text()))
+        if isinstance(node, ast.ImportFrom) and node.module
+    ]
+    return {parts[1] for parts in names if parts[0] == 'sequoia_rollouts'}
+
+
 def find_imports(source):
     """Return the top-level names of all imports of a module."""
     names = set()
@@ -79,3 +112,18 @@
             ):
                 if node.value.id == 'random':
                     assert node.attr == 'Random', source.name
+
+
+@pytest.mark.parametrize('folder', sorted(FOLDER_IMPORTS))
+def test_folders_of_the_host_import_in_one_direction(folder):
+    """Guards against circles between the folders of the host process."""
+    modules = list((FOLDERS / folder).glob('*.py'))
+    assert modules
+    allowed = FOLDER_IMPORTS[folder] | {folder}
+    for source in modules:
+        assert find_folder_imports(source) <= allowed, source.name
+
+
+def test_every_folder_of_the_host_has_its_imports_listed():
+    folders = {source.parent.name for source in FOLDERS.glob('*/*.py')}
+    assert folders == set(FOLDER_IMPORTS)
--- a/packages/rollouts/sequoia_rollouts/reloads.py
+++ b/packages/rollouts/sequoia_rollouts/base/reloads.py
@@ -7,7 +7,7 @@
 from attrs import asdict, define, field
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.settings import RELOADABLE, HostSettings
+from sequoia_rollouts.base.settings import RELOADABLE, HostSettings
 
 RELOAD_INTERVAL = timedelta(seconds=2)
 # Time between the two equal reads that a change needs: a file that is being
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts among themselves: leases, heartbeats, ownership, peers."""
--- a/packages/rollouts/sequoia_rollouts/censuses.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/censuses.py
@@ -10,8 +10,8 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.storage.stores import (
     Row,
     RowRange,
     RowWrite,
@@ -19,7 +19,7 @@
     Transaction,
     read_all,
 )
-from sequoia_rollouts.tables import HOSTS, member_key
+from sequoia_rollouts.storage.tables import HOSTS, member_key
 
 POLL_INTERVAL = timedelta(milliseconds=100)
 ANNOUNCE_SPREAD = timedelta(milliseconds=300)  # of the first announcements
--- a/packages/rollouts/sequoia_rollouts/coordination.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/coordination.py
@@ -8,14 +8,14 @@
 from sequoia_policy.clocks import Clock
 from sequoia_wire.messages import Address
 
-from sequoia_rollouts.censuses import Census
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.lease_keepers import LeaseKeeper
-from sequoia_rollouts.own_leases import OwnLease
-from sequoia_rollouts.peer_keys import KeyRing
-from sequoia_rollouts.peers import PeerMonitor
-from sequoia_rollouts.settings import HostSettings
-from sequoia_rollouts.stores import Store
+from sequoia_rollouts.fleet.censuses import Census
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.fleet.lease_keepers import LeaseKeeper
+from sequoia_rollouts.fleet.own_leases import OwnLease
+from sequoia_rollouts.fleet.peer_keys import KeyRing
+from sequoia_rollouts.fleet.peers import PeerMonitor
+from sequoia_rollouts.base.settings import HostSettings
+from sequoia_rollouts.storage.stores import Store
 
 
 @define(eq=False)
--- a/packages/rollouts/sequoia_rollouts/heartbeats.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/heartbeats.py
@@ -22,9 +22,9 @@
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import parse_address
 
-from sequoia_rollouts.own_leases import OwnLease
-from sequoia_rollouts.stores import Row, RowRange, Store
-from sequoia_rollouts.tables import COORDINATORS, read_heartbeat
+from sequoia_rollouts.fleet.own_leases import OwnLease
+from sequoia_rollouts.storage.stores import Row, RowRange, Store
+from sequoia_rollouts.storage.tables import COORDINATORS, read_heartbeat
 
 FRESH_READ = timedelta(milliseconds=500)  # age up to which a read is reused
 
--- a/packages/rollouts/sequoia_rollouts/lease_keepers.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/lease_keepers.py
@@ -11,8 +11,8 @@
 from sequoia_wire.codecs import encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.heartbeats import HeartbeatService, decode_leases
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService, decode_leases
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     ConflictError,
     Guard,
@@ -20,7 +20,7 @@
     Store,
     Transaction,
 )
-from sequoia_rollouts.tables import lease_key
+from sequoia_rollouts.storage.tables import lease_key
 
 CLAIM_POLL_INTERVAL = timedelta(milliseconds=100)
 # Shorter than the timeout of a call, so that a lost response does not delay the
--- a/packages/rollouts/sequoia_rollouts/ownership.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/ownership.py
@@ -11,10 +11,10 @@
 from sequoia_policy.submissions import Ownership
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.followers import TableFollower
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.notes import ENGINE_PREFIX, EngineNote, read_note
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.storage.followers import TableFollower
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.storage.notes import ENGINE_PREFIX, EngineNote, read_note
+from sequoia_rollouts.storage.stores import (
     Committer,
     ConflictError,
     Guard,
@@ -23,7 +23,7 @@
     Store,
     Transaction,
 )
-from sequoia_rollouts.tables import (
+from sequoia_rollouts.storage.tables import (
     DUTY_PREFIX,
     OWNERSHIP,
     PARTITIONS,
@@ -33,7 +33,7 @@
     submission_key,
     write_ownership,
 )
-from sequoia_rollouts.takeovers import TakeoverTurns
+from sequoia_rollouts.fleet.takeovers import TakeoverTurns
 
 COMMIT_TIMEOUT = timedelta(milliseconds=1500)
 
--- a/packages/rollouts/sequoia_rollouts/partition_sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/partition_sweepers.py
@@ -8,8 +8,8 @@
 from sequoia_policy.errors import ServiceError
 from sequoia_wire.logs import Log, LogEvent, LogKind
 
-from sequoia_rollouts.ownership import OwnershipTable, is_first
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.fleet.ownership import OwnershipTable, is_first
+from sequoia_rollouts.storage.stores import (
     ConflictError,
     Guard,
     Row,
@@ -19,7 +19,7 @@
     Transaction,
     read_all,
 )
-from sequoia_rollouts.tables import PARTITIONS
+from sequoia_rollouts.storage.tables import PARTITIONS
 
 SWEEP_INTERVAL = timedelta(seconds=60)
 
--- a/packages/rollouts/sequoia_rollouts/peer_keys.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/peer_keys.py
@@ -16,8 +16,8 @@
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.signatures import derive_key, open_datagram, seal_datagram
 
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     ConflictError,
     Guard,
@@ -26,7 +26,7 @@
     Store,
     Transaction,
 )
-from sequoia_rollouts.tables import KEYS, peer_keys_key
+from sequoia_rollouts.storage.tables import KEYS, peer_keys_key
 
 RETRY_INTERVAL = timedelta(seconds=1)  # until keys have been read
 READ_INTERVAL = timedelta(seconds=30)
--- a/packages/rollouts/sequoia_rollouts/peers.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/peers.py
@@ -16,8 +16,8 @@
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Address, parse_address
 
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.peer_keys import KeyRing
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.fleet.peer_keys import KeyRing
 
 QUERY_INTERVAL = timedelta(milliseconds=400)
 VALID_NONCES = 3  # queries whose responses are accepted
--- a/packages/rollouts/sequoia_rollouts/takeovers.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/takeovers.py
@@ -7,7 +7,7 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.liveness import ADOPTION_STAGGER
 
-from sequoia_rollouts.heartbeats import HeartbeatService
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
 
 
 @define
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/live/__init__.py
@@ -0,0 +1,1 @@
+"""Live requests and streams."""
--- a/packages/rollouts/sequoia_rollouts/handoffs.py
+++ b/packages/rollouts/sequoia_rollouts/live/handoffs.py
@@ -27,19 +27,19 @@
     parse_address,
 )
 
-from sequoia_rollouts.crash_checks import CrashCheck
-from sequoia_rollouts.disconnects import (
+from sequoia_rollouts.targets.crash_checks import CrashCheck
+from sequoia_rollouts.live.disconnects import (
     CallerDisconnectedError,
     run_for_caller,
 )
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.live_attempts import (
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.live.live_attempts import (
     RETRY_AFTER,
     LiveAttempts,
     LiveRequest,
 )
-from sequoia_rollouts.peer_keys import KeyRing
-from sequoia_rollouts.senders import OutgoingRequest
+from sequoia_rollouts.fleet.peer_keys import KeyRing
+from sequoia_rollouts.targets.senders import OutgoingRequest
 
 PATH = '/live'
 OK = 200
--- a/packages/rollouts/sequoia_rollouts/hedges.py
+++ b/packages/rollouts/sequoia_rollouts/live/hedges.py
@@ -18,10 +18,10 @@
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log
 
-from sequoia_rollouts.live_attempts import LiveAttempts
-from sequoia_rollouts.live_retries import LiveRetries
-from sequoia_rollouts.live_targets import LiveTargets
-from sequoia_rollouts.senders import LabelledResponse
+from sequoia_rollouts.live.live_attempts import LiveAttempts
+from sequoia_rollouts.live.live_retries import LiveRetries
+from sequoia_rollouts.live.live_targets import LiveTargets
+from sequoia_rollouts.targets.senders import LabelledResponse
 
 MIN_ERROR_STATUS = 500
 HEDGE_OBJECTIVE_SHARE = 0.6  # of the route's objective until a hedge is sent
--- a/packages/rollouts/sequoia_rollouts/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_attempts.py
@@ -11,7 +11,7 @@
 from sequoia_policy.routing import Route
 from sequoia_policy.verdicts import Verdict, merge_verdicts
 
-from sequoia_rollouts.senders import OutgoingRequest
+from sequoia_rollouts.targets.senders import OutgoingRequest
 
 RETRY_AFTER = timedelta(milliseconds=300)
 FINGERPRINT_BYTES = 12
--- a/packages/rollouts/sequoia_rollouts/live.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_paths.py
@@ -15,36 +15,36 @@
 from sequoia_wire.messages import Response
 from sequoia_wire.responses import ResponseSink
 
-from sequoia_rollouts.crash_checks import CrashCheck
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.handoffs import HandoffSender, HandoffServer
-from sequoia_rollouts.hedges import (
+from sequoia_rollouts.targets.crash_checks import CrashCheck
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.live.handoffs import HandoffSender, HandoffServer
+from sequoia_rollouts.live.hedges import (
     MIN_ERROR_STATUS,
     HedgedSender,
     find_response_error,
 )
-from sequoia_rollouts.live_attempts import (
+from sequoia_rollouts.live.live_attempts import (
     RETRY_AFTER,
     LiveAttempts,
     LiveRequest,
 )
-from sequoia_rollouts.live_retries import LiveRetries
-from sequoia_rollouts.live_streams import StreamRelay
-from sequoia_rollouts.live_targets import LiveTargets
-from sequoia_rollouts.ownership import OwnershipTable
-from sequoia_rollouts.peer_keys import KeyRing
-from sequoia_rollouts.quarantines import Quarantine
-from sequoia_rollouts.senders import (
+from sequoia_rollouts.live.live_retries import LiveRetries
+from sequoia_rollouts.live.live_streams import StreamRelay
+from sequoia_rollouts.live.live_targets import LiveTargets
+from sequoia_rollouts.fleet.ownership import OwnershipTable
+from sequoia_rollouts.fleet.peer_keys import KeyRing
+from sequoia_rollouts.live.quarantines import Quarantine
+from sequoia_rollouts.targets.senders import (
     MIN_UNSUCCESSFUL_STATUS,
     LabelledResponse,
     Sender,
 )
-from sequoia_rollouts.stop_guards import StopGuard
-from sequoia_rollouts.stream_releases import (
+from sequoia_rollouts.live.stop_guards import StopGuard
+from sequoia_rollouts.live.stream_releases import (
     StreamReleases,
     build_stream_releases,
 )
-from sequoia_rollouts.streams import LiveStream
+from sequoia_rollouts.live.streams import LiveStream
 
 log = Log('live')
 REQUEST_ANSWERED = log.event(
--- a/packages/rollouts/sequoia_rollouts/live_retries.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_retries.py
@@ -10,9 +10,9 @@
 from sequoia_policy.retries import find_retry_refusal
 from sequoia_policy.verdicts import Verdict
 
-from sequoia_rollouts.live_attempts import RETRY_AFTER, LiveAttempts
-from sequoia_rollouts.live_targets import LiveTargets
-from sequoia_rollouts.quarantines import Quarantine
+from sequoia_rollouts.live.live_attempts import RETRY_AFTER, LiveAttempts
+from sequoia_rollouts.live.live_targets import LiveTargets
+from sequoia_rollouts.live.quarantines import Quarantine
 
 MAX_REFUSALS = 12  # "not run" responses per request
 MIN_TIME_LEFT = timedelta(milliseconds=15)  # needed for another attempt
--- a/packages/rollouts/sequoia_rollouts/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_streams.py
@@ -17,29 +17,29 @@
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Response, ResponseHead
 
-from sequoia_rollouts.dialects import CallLabels
-from sequoia_rollouts.events import EventReader, StreamEvent
-from sequoia_rollouts.live_attempts import LiveAttempts
-from sequoia_rollouts.live_retries import LiveRetries
-from sequoia_rollouts.live_targets import LiveTargets
-from sequoia_rollouts.paces import (
+from sequoia_rollouts.targets.dialects import CallLabels
+from sequoia_rollouts.streaming.events import EventReader, StreamEvent
+from sequoia_rollouts.live.live_attempts import LiveAttempts
+from sequoia_rollouts.live.live_retries import LiveRetries
+from sequoia_rollouts.live.live_targets import LiveTargets
+from sequoia_rollouts.streaming.paces import (
     PaceMeter,
     StreamProgress,
     find_gap_timeout,
 )
-from sequoia_rollouts.senders import (
+from sequoia_rollouts.targets.senders import (
     CONNECT_TIMEOUT,
     Sender,
     strip_hop_by_hop_headers,
 )
-from sequoia_rollouts.stream_checks import (
+from sequoia_rollouts.streaming.stream_checks import (
     check_end,
     check_event,
     check_head,
     read_events,
 )
-from sequoia_rollouts.stream_releases import StreamReleases
-from sequoia_rollouts.streams import LiveStream, StreamSegment
+from sequoia_rollouts.live.stream_releases import StreamReleases
+from sequoia_rollouts.live.streams import LiveStream, StreamSegment
 
 OK = 200
 MIN_ERROR_STATUS = 500
--- a/packages/rollouts/sequoia_rollouts/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_targets.py
@@ -14,9 +14,9 @@
 from sequoia_wire.durations import seconds_of
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.live_attempts import RETRY_AFTER, LiveAttempts
-from sequoia_rollouts.stop_guards import StopGuard
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.live.live_attempts import RETRY_AFTER, LiveAttempts
+from sequoia_rollouts.live.stop_guards import StopGuard
 
 REFUSAL_BACKOFF = timedelta(milliseconds=15)
 
--- a/packages/rollouts/sequoia_rollouts/quarantines.py
+++ b/packages/rollouts/sequoia_rollouts/live/quarantines.py
@@ -18,11 +18,11 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.crash_checks import CrashCheck
-from sequoia_rollouts.followers import TableFollower
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.live_attempts import LiveRequest
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.targets.crash_checks import CrashCheck
+from sequoia_rollouts.storage.followers import TableFollower
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.live.live_attempts import LiveRequest
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     ConflictError,
     Guard,
--- a/packages/rollouts/sequoia_rollouts/stop_guards.py
+++ b/packages/rollouts/sequoia_rollouts/live/stop_guards.py
@@ -11,7 +11,7 @@
 from sequoia_policy.stops import StopTimes, schedule_stop
 from sequoia_policy.verdicts import Verdict
 
-from sequoia_rollouts.live_attempts import LiveAttempts
+from sequoia_rollouts.live.live_attempts import LiveAttempts
 
 # The other hosts are as they were, so that callers need not wait for them.
 RETRY_AFTER = timedelta(milliseconds=100)
--- a/packages/rollouts/sequoia_rollouts/stream_records.py
+++ b/packages/rollouts/sequoia_rollouts/live/stream_records.py
@@ -12,8 +12,8 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     RETRY_AFTER,
     ConflictError,
@@ -25,7 +25,7 @@
     Store,
     Transaction,
 )
-from sequoia_rollouts.tables import find_partition
+from sequoia_rollouts.storage.tables import find_partition
 
 TABLE = 'streams'
 STORE_TIMEOUT = timedelta(milliseconds=400)
--- a/packages/rollouts/sequoia_rollouts/stream_releases.py
+++ b/packages/rollouts/sequoia_rollouts/live/stream_releases.py
@@ -11,11 +11,11 @@
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.live_attempts import RETRY_AFTER, LiveAttempts
-from sequoia_rollouts.ownership import OwnershipTable
-from sequoia_rollouts.release_splits import ReleaseSplits
-from sequoia_rollouts.stream_records import StreamRecords
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.live.live_attempts import RETRY_AFTER, LiveAttempts
+from sequoia_rollouts.fleet.ownership import OwnershipTable
+from sequoia_rollouts.targets.release_splits import ReleaseSplits
+from sequoia_rollouts.live.stream_records import StreamRecords
 
 MAX_VIEW_AGE = timedelta(seconds=3)  # of the splits, to resume a stream by them
 
--- a/packages/rollouts/sequoia_rollouts/streams.py
+++ b/packages/rollouts/sequoia_rollouts/live/streams.py
@@ -7,9 +7,9 @@
 from sequoia_wire.messages import ResponseHead
 from sequoia_wire.responses import ResponseSink
 
-from sequoia_rollouts.events import EventReader
-from sequoia_rollouts.live_attempts import LiveAttempts
-from sequoia_rollouts.paces import PaceMeter, StreamProgress
+from sequoia_rollouts.streaming.events import EventReader
+from sequoia_rollouts.live.live_attempts import LiveAttempts
+from sequoia_rollouts.streaming.paces import PaceMeter, StreamProgress
 
 
 @define
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/process/__init__.py
@@ -0,0 +1,1 @@
+"""The host process: its components, start and stop."""
--- a/packages/rollouts/sequoia_rollouts/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -12,26 +12,26 @@
 from sequoia_wire.logs import OUTPUT, Log
 from sequoia_wire.servers import HttpServer
 
-from sequoia_rollouts.dialects import TargetDialect
-from sequoia_rollouts.coordination import Coordination
-from sequoia_rollouts.directories import Directory, DirectoryReader
-from sequoia_rollouts.garbage import freeze_objects
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.item_runs import build_dependencies
-from sequoia_rollouts.live import LivePath
-from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
-from sequoia_rollouts.peer_reads import PeerReader
-from sequoia_rollouts.publishers import RegistrationPublisher
-from sequoia_rollouts.reloads import SettingsReloader
-from sequoia_rollouts.result_reads import ResultReader
-from sequoia_rollouts.settings import HostSettings
-from sequoia_rollouts.shutdowns import Shutdown
-from sequoia_rollouts.status import StatusServers
-from sequoia_rollouts.stores import Committer, Store
-from sequoia_rollouts.submissions import SubmissionHandler
-from sequoia_rollouts.supervisors import filter_loop_log, supervise
-from sequoia_rollouts.sweepers import Sweeper
-from sequoia_rollouts.weights import WeightManagers
+from sequoia_rollouts.targets.dialects import TargetDialect
+from sequoia_rollouts.fleet.coordination import Coordination
+from sequoia_rollouts.targets.directories import Directory, DirectoryReader
+from sequoia_rollouts.base.garbage import freeze_objects
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.submissions.item_runs import build_dependencies
+from sequoia_rollouts.live.live_paths import LivePath
+from sequoia_rollouts.fleet.ownership import OwnedSubmission, OwnershipTable
+from sequoia_rollouts.submissions.peer_reads import PeerReader
+from sequoia_rollouts.targets.publishers import RegistrationPublisher
+from sequoia_rollouts.base.reloads import SettingsReloader
+from sequoia_rollouts.submissions.result_reads import ResultReader
+from sequoia_rollouts.base.settings import HostSettings
+from sequoia_rollouts.process.shutdowns import Shutdown
+from sequoia_rollouts.process.status import StatusServers
+from sequoia_rollouts.storage.stores import Committer, Store
+from sequoia_rollouts.submissions.submission_handlers import SubmissionHandler
+from sequoia_rollouts.base.supervisors import filter_loop_log, supervise
+from sequoia_rollouts.process.sweepers import Sweeper
+from sequoia_rollouts.weights.weight_managers import WeightManagers
 
 FLUSH_INTERVAL = timedelta(milliseconds=100)
 
--- a/packages/rollouts/sequoia_rollouts/shutdowns.py
+++ b/packages/rollouts/sequoia_rollouts/process/shutdowns.py
@@ -12,10 +12,10 @@
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.servers import HttpServer
 
-from sequoia_rollouts.lease_keepers import LeaseKeeper
-from sequoia_rollouts.ownership import OwnershipTable
-from sequoia_rollouts.submissions import SubmissionHandler
-from sequoia_rollouts.weights import WeightManagers
+from sequoia_rollouts.fleet.lease_keepers import LeaseKeeper
+from sequoia_rollouts.fleet.ownership import OwnershipTable
+from sequoia_rollouts.submissions.submission_handlers import SubmissionHandler
+from sequoia_rollouts.weights.weight_managers import WeightManagers
 
 ITEM_FINISH_TIMEOUT = timedelta(milliseconds=2500)  # items in flight at a stop
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
--- a/packages/rollouts/sequoia_rollouts/status.py
+++ b/packages/rollouts/sequoia_rollouts/process/status.py
@@ -9,12 +9,12 @@
 from sequoia_wire.messages import Address
 from sequoia_wire.servers import HttpServer
 
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.metrics import Metrics
-from sequoia_rollouts.ownership import OwnershipTable
-from sequoia_rollouts.settings import HostSettings
-from sequoia_rollouts.submissions import SubmissionHandler
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.base.metrics import Metrics
+from sequoia_rollouts.fleet.ownership import OwnershipTable
+from sequoia_rollouts.base.settings import HostSettings
+from sequoia_rollouts.submissions.submission_handlers import SubmissionHandler
 
 OK = 200
 READY = 200
--- a/packages/rollouts/sequoia_rollouts/sweepers.py
+++ b/packages/rollouts/sequoia_rollouts/process/sweepers.py
@@ -8,19 +8,20 @@
 from sequoia_policy.errors import ServiceError
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.abandonments import make_abandonment_sweeper
-from sequoia_rollouts.batches import split_writes
-from sequoia_rollouts.ownership import (
+from sequoia_rollouts.submissions.abandonments import make_abandonment_sweeper
+from sequoia_rollouts.storage.batches import split_writes
+from sequoia_rollouts.fleet.ownership import (
     OwnedSubmission,
     OwnershipTable,
     is_first,
 )
-from sequoia_rollouts import permit_rows, quarantines, stream_records
-from sequoia_rollouts.partition_sweepers import (
+from sequoia_rollouts.live import quarantines, stream_records
+from sequoia_rollouts.targets import permit_rows
+from sequoia_rollouts.fleet.partition_sweepers import (
     PartitionSweeper,
     make_row_sweeper,
 )
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.storage.stores import (
     ConflictError,
     Guard,
     RowWrite,
@@ -28,8 +29,8 @@
     Transaction,
     read_all,
 )
-from sequoia_rollouts.supervisors import supervise
-from sequoia_rollouts.tables import (
+from sequoia_rollouts.base.supervisors import supervise
+from sequoia_rollouts.storage.tables import (
     progress_range,
     results_range,
     specification_range,
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The store: its interface, tables, rows and feeds."""
--- a/packages/rollouts/sequoia_rollouts/batches.py
+++ b/packages/rollouts/sequoia_rollouts/storage/batches.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from sequoia_rollouts.stores import RowWrite
+from sequoia_rollouts.storage.stores import RowWrite
 
 # Limits of one transaction. Each write needs a guard of its own at most, and
 # the store counts the bytes as base64.
--- a/packages/rollouts/sequoia_rollouts/followers.py
+++ b/packages/rollouts/sequoia_rollouts/storage/followers.py
@@ -9,7 +9,7 @@
 from sequoia_policy.errors import ServiceError
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.storage.stores import (
     HistoryLostError,
     Row,
     RowPage,
--- a/packages/rollouts/sequoia_rollouts/notes.py
+++ b/packages/rollouts/sequoia_rollouts/storage/notes.py
@@ -3,8 +3,8 @@
 from attrs import frozen
 from sequoia_wire.codecs import decode, encode
 
-from sequoia_rollouts.stores import RowKey, RowWrite
-from sequoia_rollouts.tables import OWNERSHIP, find_partition
+from sequoia_rollouts.storage.stores import RowKey, RowWrite
+from sequoia_rollouts.storage.tables import OWNERSHIP, find_partition
 
 ENGINE_PREFIX = 'engine/'
 
--- a/packages/rollouts/sequoia_rollouts/tables.py
+++ b/packages/rollouts/sequoia_rollouts/storage/tables.py
@@ -7,7 +7,7 @@
 from sequoia_policy.submissions import ItemResult, Ownership, Submission
 from sequoia_wire.codecs import decode, encode
 
-from sequoia_rollouts.stores import RowKey, RowRange, RowWrite
+from sequoia_rollouts.storage.stores import RowKey, RowRange, RowWrite
 
 OWNERSHIP = 'ownership'
 SPECIFICATIONS = 'specifications'
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/streaming/__init__.py
@@ -0,0 +1,1 @@
+"""Generations of engines, event by event."""
--- a/packages/rollouts/sequoia_rollouts/generations.py
+++ b/packages/rollouts/sequoia_rollouts/streaming/generations.py
@@ -14,15 +14,19 @@
 from sequoia_wire.clients import Call, Timeouts, limit_call_time
 from sequoia_wire.messages import RequestHead, ResponseHead, encode_headers
 
-from sequoia_rollouts.dialects import CallLabels
-from sequoia_rollouts.events import EventReader, StreamEvent
-from sequoia_rollouts.paces import (
+from sequoia_rollouts.targets.dialects import CallLabels
+from sequoia_rollouts.streaming.events import EventReader, StreamEvent
+from sequoia_rollouts.streaming.paces import (
     PaceMeter,
     StreamProgress,
     find_gap_timeout,
 )
-from sequoia_rollouts.senders import CONNECT_TIMEOUT, OutgoingRequest, Sender
-from sequoia_rollouts.stream_checks import (
+from sequoia_rollouts.targets.senders import (
+    CONNECT_TIMEOUT,
+    OutgoingRequest,
+    Sender,
+)
+from sequoia_rollouts.streaming.stream_checks import (
     check_end,
     check_event,
     check_head,
--- a/packages/rollouts/sequoia_rollouts/stream_checks.py
+++ b/packages/rollouts/sequoia_rollouts/streaming/stream_checks.py
@@ -4,8 +4,8 @@
 from sequoia_wire.messages import ResponseHead
 from sequoia_wire.numbers import parse_count
 
-from sequoia_rollouts.dialects import ResponseLabels
-from sequoia_rollouts.events import EventReader, StreamEvent
+from sequoia_rollouts.targets.dialects import ResponseLabels
+from sequoia_rollouts.streaming.events import EventReader, StreamEvent
 
 STREAM_TYPE = 'text/event-stream'
 
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/submissions/__init__.py
@@ -0,0 +1,1 @@
+"""Batch submissions, their items and results."""
--- a/packages/rollouts/sequoia_rollouts/abandonments.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/abandonments.py
@@ -5,15 +5,15 @@
 from attrs import define
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.acceptance_markers import (
+from sequoia_rollouts.submissions.acceptance_markers import (
     ACCEPTANCES,
     marker_key,
     read_marker,
 )
-from sequoia_rollouts.batches import split_writes
-from sequoia_rollouts.ownership import OwnershipTable
-from sequoia_rollouts.partition_sweepers import PartitionSweeper
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.storage.batches import split_writes
+from sequoia_rollouts.fleet.ownership import OwnershipTable
+from sequoia_rollouts.fleet.partition_sweepers import PartitionSweeper
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     Guard,
     Row,
@@ -22,7 +22,7 @@
     Transaction,
     read_all,
 )
-from sequoia_rollouts.tables import specification_range, submission_key
+from sequoia_rollouts.storage.tables import specification_range, submission_key
 
 MAX_ACCEPTANCE_AGE = timedelta(seconds=120)  # callers retry within seconds
 
--- a/packages/rollouts/sequoia_rollouts/acceptance_markers.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/acceptance_markers.py
@@ -5,8 +5,8 @@
 from attrs import frozen
 from sequoia_wire.codecs import decode, encode
 
-from sequoia_rollouts.stores import RowKey, RowWrite
-from sequoia_rollouts.tables import find_partition
+from sequoia_rollouts.storage.stores import RowKey, RowWrite
+from sequoia_rollouts.storage.tables import find_partition
 
 ACCEPTANCES = 'acceptances'
 
--- a/packages/rollouts/sequoia_rollouts/acceptances.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/acceptances.py
@@ -14,9 +14,12 @@
 from sequoia_policy.submissions import Ownership, Submission
 from sequoia_policy.verdicts import Verdict
 
-from sequoia_rollouts.acceptance_markers import marker_key, write_marker
-from sequoia_rollouts.batches import split_writes
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.submissions.acceptance_markers import (
+    marker_key,
+    write_marker,
+)
+from sequoia_rollouts.storage.batches import split_writes
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     Committer,
     ConflictError,
@@ -25,7 +28,7 @@
     RowWrite,
     Transaction,
 )
-from sequoia_rollouts.tables import submission_key, write_ownership
+from sequoia_rollouts.storage.tables import submission_key, write_ownership
 
 ACCEPT_TIMEOUT = timedelta(milliseconds=2500)
 
--- a/packages/rollouts/sequoia_rollouts/adoptions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/adoptions.py
@@ -7,7 +7,7 @@
 from sequoia_policy.errors import ServiceError
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.ownership import OwnershipTable
+from sequoia_rollouts.fleet.ownership import OwnershipTable
 
 ADOPTION_INTERVAL = timedelta(milliseconds=50)
 
--- a/packages/rollouts/sequoia_rollouts/archives.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/archives.py
@@ -7,10 +7,10 @@
 from sequoia_policy.submissions import ItemResult, Submission
 from sequoia_wire.codecs import decode
 
-from sequoia_rollouts.generations import Generation
-from sequoia_rollouts.progress import restore_generations
-from sequoia_rollouts.stores import Row, Store, read_all
-from sequoia_rollouts.tables import (
+from sequoia_rollouts.streaming.generations import Generation
+from sequoia_rollouts.submissions.progress import restore_generations
+from sequoia_rollouts.storage.stores import Row, Store, read_all
+from sequoia_rollouts.storage.tables import (
     progress_range,
     results_range,
     specification_range,
--- a/packages/rollouts/sequoia_rollouts/item_releases.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/item_releases.py
@@ -11,8 +11,8 @@
 from sequoia_policy.submissions import Item
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.generations import Generation
-from sequoia_rollouts.placers import EngineRequirements, Placer
+from sequoia_rollouts.streaming.generations import Generation
+from sequoia_rollouts.submissions.placers import EngineRequirements, Placer
 
 MAX_WAIT = timedelta(seconds=1)  # for a free engine of the release
 
--- a/packages/rollouts/sequoia_rollouts/item_runs.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/item_runs.py
@@ -21,21 +21,21 @@
 from sequoia_wire.durations import seconds_of
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.dialects import TargetDialect
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.generations import (
+from sequoia_rollouts.targets.dialects import TargetDialect
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.streaming.generations import (
     Generation,
     GenerationRunner,
     RunEnd,
     RunEndedError,
 )
-from sequoia_rollouts.ownership import OwnershipTable
-from sequoia_rollouts.permits import PermitTaker
-from sequoia_rollouts.placers import EngineRequirements, Placer
-from sequoia_rollouts.recorders import Recorder
-from sequoia_rollouts.rewards import RewardCaller, RewardFailedError
-from sequoia_rollouts.scorers import ScorerQueue
-from sequoia_rollouts.senders import Sender
+from sequoia_rollouts.fleet.ownership import OwnershipTable
+from sequoia_rollouts.targets.permits import PermitTaker
+from sequoia_rollouts.submissions.placers import EngineRequirements, Placer
+from sequoia_rollouts.submissions.recorders import Recorder
+from sequoia_rollouts.submissions.rewards import RewardCaller, RewardFailedError
+from sequoia_rollouts.submissions.scorers import ScorerQueue
+from sequoia_rollouts.targets.senders import Sender
 
 REQUEUE_DELAY = timedelta(milliseconds=20)
 REFUSAL_BACKOFF = timedelta(milliseconds=100)
--- a/packages/rollouts/sequoia_rollouts/peer_reads.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/peer_reads.py
@@ -18,9 +18,9 @@
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Address, RequestHead, parse_address
 
-from sequoia_rollouts.ownership import OwnershipTable
-from sequoia_rollouts.peer_keys import KeyRing
-from sequoia_rollouts.result_pages import ResultPage
+from sequoia_rollouts.fleet.ownership import OwnershipTable
+from sequoia_rollouts.fleet.peer_keys import KeyRing
+from sequoia_rollouts.submissions.result_pages import ResultPage
 
 PATH = '/results'
 OK = 200
--- a/packages/rollouts/sequoia_rollouts/placers.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/placers.py
@@ -16,7 +16,7 @@
 )
 from sequoia_policy.target_choices import choose_fastest
 
-from sequoia_rollouts.directories import Directory
+from sequoia_rollouts.targets.directories import Directory
 
 # An item moves to another engine if its engine is slower by more than this
 # factor.
--- a/packages/rollouts/sequoia_rollouts/progress.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/progress.py
@@ -15,9 +15,9 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.batches import split_writes
-from sequoia_rollouts.generations import GeneratedEvent, Generation
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.storage.batches import split_writes
+from sequoia_rollouts.streaming.generations import GeneratedEvent, Generation
+from sequoia_rollouts.storage.stores import (
     ConflictError,
     Guard,
     Row,
@@ -26,7 +26,7 @@
     Store,
     Transaction,
 )
-from sequoia_rollouts.tables import progress_key, submission_key
+from sequoia_rollouts.storage.tables import progress_key, submission_key
 
 SAVE_INTERVAL = timedelta(milliseconds=500)
 MAX_EVENTS_BYTES = 40_000  # of the encoded events of one row
--- a/packages/rollouts/sequoia_rollouts/recorders.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/recorders.py
@@ -10,9 +10,9 @@
 from sequoia_wire.codecs import encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.archives import join_results
-from sequoia_rollouts.batches import MAX_BYTES, MAX_WRITES
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.submissions.archives import join_results
+from sequoia_rollouts.storage.batches import MAX_BYTES, MAX_WRITES
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     Committer,
     ConflictError,
@@ -21,7 +21,7 @@
     Transaction,
     read_all,
 )
-from sequoia_rollouts.tables import (
+from sequoia_rollouts.storage.tables import (
     results_range,
     submission_key,
     write_result,
--- a/packages/rollouts/sequoia_rollouts/result_reads.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/result_reads.py
@@ -11,10 +11,10 @@
 from sequoia_wire.messages import Address
 from sequoia_wire.servers import HttpServer
 
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.peer_reads import PeerReader, PeerReadServer
-from sequoia_rollouts.result_pages import ResultPage, limit_page
-from sequoia_rollouts.submissions import SubmissionHandler
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.submissions.peer_reads import PeerReader, PeerReadServer
+from sequoia_rollouts.submissions.result_pages import ResultPage, limit_page
+from sequoia_rollouts.submissions.submission_handlers import SubmissionHandler
 
 READ_INTERVAL = timedelta(milliseconds=120)
 # Age of the newest response from which other hosts are asked before the store.
--- a/packages/rollouts/sequoia_rollouts/rewards.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/rewards.py
@@ -22,9 +22,9 @@
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import RequestHead, encode_headers
 
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.scorers import ScorerQueue
-from sequoia_rollouts.senders import (
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.submissions.scorers import ScorerQueue
+from sequoia_rollouts.targets.senders import (
     MIN_UNSUCCESSFUL_STATUS,
     LabelledResponse,
     OutgoingRequest,
--- a/packages/rollouts/sequoia_rollouts/runners.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/runners.py
@@ -15,13 +15,17 @@
 )
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.generations import Generation
-from sequoia_rollouts.item_releases import ItemReleases
-from sequoia_rollouts.item_runs import ItemRun, ItemRunner, RunnerDependencies
-from sequoia_rollouts.placers import EngineRequirements
-from sequoia_rollouts.progress import ProgressSaver
-from sequoia_rollouts.recorders import Recorder
-from sequoia_rollouts.supervisors import supervise
+from sequoia_rollouts.streaming.generations import Generation
+from sequoia_rollouts.submissions.item_releases import ItemReleases
+from sequoia_rollouts.submissions.item_runs import (
+    ItemRun,
+    ItemRunner,
+    RunnerDependencies,
+)
+from sequoia_rollouts.submissions.placers import EngineRequirements
+from sequoia_rollouts.submissions.progress import ProgressSaver
+from sequoia_rollouts.submissions.recorders import Recorder
+from sequoia_rollouts.base.supervisors import supervise
 
 IDLE_POLL_INTERVAL = timedelta(milliseconds=20)
 
--- a/packages/rollouts/sequoia_rollouts/scorers.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/scorers.py
@@ -8,7 +8,7 @@
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.submissions import GroupRank
 
-from sequoia_rollouts.placers import Placer
+from sequoia_rollouts.submissions.placers import Placer
 
 POLL_INTERVAL = timedelta(milliseconds=20)
 
--- a/packages/rollouts/sequoia_rollouts/submissions.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/submission_handlers.py
@@ -11,22 +11,25 @@
 from sequoia_policy.submissions import Ownership, Submission
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.acceptances import ACCEPT_TIMEOUT, AcceptanceWriter
-from sequoia_rollouts.adoptions import Adopter
-from sequoia_rollouts.archives import Archive, StoredSubmission
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.item_runs import RunnerDependencies
-from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
-from sequoia_rollouts.recorders import Recorder
-from sequoia_rollouts.runners import Acceptance, SubmissionRunner
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.submissions.acceptances import (
+    ACCEPT_TIMEOUT,
+    AcceptanceWriter,
+)
+from sequoia_rollouts.submissions.adoptions import Adopter
+from sequoia_rollouts.submissions.archives import Archive, StoredSubmission
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.submissions.item_runs import RunnerDependencies
+from sequoia_rollouts.fleet.ownership import OwnedSubmission, OwnershipTable
+from sequoia_rollouts.submissions.recorders import Recorder
+from sequoia_rollouts.submissions.runners import Acceptance, SubmissionRunner
+from sequoia_rollouts.storage.stores import (
     Committer,
     ConflictError,
     Guard,
     Store,
     Transaction,
 )
-from sequoia_rollouts.tables import (
+from sequoia_rollouts.storage.tables import (
     submission_key,
     write_ownership,
     write_specification,
--- a/packages/rollouts/sequoia_rollouts/crash_checks.py
+++ b/packages/rollouts/sequoia_rollouts/targets/crash_checks.py
@@ -16,9 +16,9 @@
 from sequoia_wire.logs import Log
 from sequoia_wire.messages import parse_address
 
-from sequoia_rollouts.dialects import PreparedCall
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.senders import MISDIRECTED_STATUS, Sender
+from sequoia_rollouts.targets.dialects import PreparedCall
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.targets.senders import MISDIRECTED_STATUS, Sender
 
 ASK_TIMEOUT = timedelta(milliseconds=150)
 REUSE_FOR = timedelta(
--- a/packages/rollouts/sequoia_rollouts/directories.py
+++ b/packages/rollouts/sequoia_rollouts/targets/directories.py
@@ -14,9 +14,9 @@
 from sequoia_policy.routing import Configuration
 from sequoia_wire.logs import Log
 
-from sequoia_rollouts.followers import TableFollower
-from sequoia_rollouts.notes import EngineNote
-from sequoia_rollouts.stores import Row, Store
+from sequoia_rollouts.storage.followers import TableFollower
+from sequoia_rollouts.storage.notes import EngineNote
+from sequoia_rollouts.storage.stores import Row, Store
 
 INITIAL_VERSION = 1  # of an engine before a trainer names one
 MAX_LOAD_DURATION = timedelta(seconds=2)  # if no note reports the end
--- a/packages/rollouts/sequoia_rollouts/permit_rows.py
+++ b/packages/rollouts/sequoia_rollouts/targets/permit_rows.py
@@ -11,7 +11,7 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     ConflictError,
     Guard,
@@ -21,7 +21,7 @@
     Store,
     Transaction,
 )
-from sequoia_rollouts.tables import find_partition
+from sequoia_rollouts.storage.tables import find_partition
 
 TABLE = 'permits'
 STORE_TIMEOUT = timedelta(milliseconds=150)
--- a/packages/rollouts/sequoia_rollouts/permits.py
+++ b/packages/rollouts/sequoia_rollouts/targets/permits.py
@@ -20,10 +20,10 @@
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.permit_queues import PermitQueue
-from sequoia_rollouts.permit_rows import PermitRows, make_key
-from sequoia_rollouts.stores import RowKey, Store
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.targets.permit_queues import PermitQueue
+from sequoia_rollouts.targets.permit_rows import PermitRows, make_key
+from sequoia_rollouts.storage.stores import RowKey, Store
 
 STORE_BACKOFF = timedelta(seconds=1)
 MAX_CONFLICTS = 4  # of one attempt to take permits
--- a/packages/rollouts/sequoia_rollouts/published_targets.py
+++ b/packages/rollouts/sequoia_rollouts/targets/published_targets.py
@@ -15,10 +15,10 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.followers import TableFollower
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.stores import Row, RowKey, RowWrite, Store
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.storage.followers import TableFollower
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.storage.stores import Row, RowKey, RowWrite, Store
 
 TABLE = 'targets'
 MARKER = RowKey(TABLE, '', '/marker')
--- a/packages/rollouts/sequoia_rollouts/publishers.py
+++ b/packages/rollouts/sequoia_rollouts/targets/publishers.py
@@ -18,16 +18,16 @@
 from sequoia_wire.codecs import encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.batches import MAX_WRITES
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.published_targets import (
+from sequoia_rollouts.storage.batches import MAX_WRITES
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.targets.published_targets import (
     TABLE,
     PublishedTargets,
     make_row_key,
     write_marker,
 )
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.storage.stores import (
     ConflictError,
     Guard,
     RowWrite,
--- a/packages/rollouts/sequoia_rollouts/release_splits.py
+++ b/packages/rollouts/sequoia_rollouts/targets/release_splits.py
@@ -16,10 +16,10 @@
 from sequoia_wire.codecs import decode, encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.followers import TableFollower
-from sequoia_rollouts.ownership import OwnershipTable, is_first
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.storage.followers import TableFollower
+from sequoia_rollouts.fleet.ownership import OwnershipTable, is_first
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     ConflictError,
     Guard,
--- a/packages/rollouts/sequoia_rollouts/senders.py
+++ b/packages/rollouts/sequoia_rollouts/targets/senders.py
@@ -22,7 +22,11 @@
     parse_address,
 )
 
-from sequoia_rollouts.dialects import CallLabels, ResponseLabels, TargetDialect
+from sequoia_rollouts.targets.dialects import (
+    CallLabels,
+    ResponseLabels,
+    TargetDialect,
+)
 
 CONNECT_TIMEOUT = timedelta(milliseconds=200)
 PROGRESS_TIMEOUT = timedelta(seconds=30)  # without receiving a byte
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines to load weights."""
--- a/packages/rollouts/sequoia_rollouts/load_planners.py
+++ b/packages/rollouts/sequoia_rollouts/weights/load_planners.py
@@ -18,9 +18,9 @@
     find_allowed_staleness,
 )
 
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.orders import EXPECTED_LOAD_TIME, DesiredVersion
-from sequoia_rollouts.ownership import OwnershipTable
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.weights.orders import EXPECTED_LOAD_TIME, DesiredVersion
+from sequoia_rollouts.fleet.ownership import OwnershipTable
 
 # A plan visits all engines of a service; this leaves time for the orders.
 PLAN_PAUSE_PER_ENGINE = timedelta(microseconds=100)
--- a/packages/rollouts/sequoia_rollouts/orders.py
+++ b/packages/rollouts/sequoia_rollouts/weights/orders.py
@@ -12,15 +12,15 @@
 from sequoia_wire.logs import Log, LogKind
 from sequoia_wire.messages import Response, parse_address
 
-from sequoia_rollouts.dialects import (
+from sequoia_rollouts.targets.dialects import (
     EngineReport,
     PreparedCall,
     VersionOrder,
 )
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.notes import EngineNote, write_note
-from sequoia_rollouts.senders import CONNECT_TIMEOUT, Sender
-from sequoia_rollouts.stores import Store, Transaction
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.storage.notes import EngineNote, write_note
+from sequoia_rollouts.targets.senders import CONNECT_TIMEOUT, Sender
+from sequoia_rollouts.storage.stores import Store, Transaction
 
 CALL_TIMEOUT = timedelta(milliseconds=700)
 EXPECTED_LOAD_TIME = timedelta(milliseconds=950)  # the first poll follows it
--- a/packages/rollouts/sequoia_rollouts/weights.py
+++ b/packages/rollouts/sequoia_rollouts/weights/weight_managers.py
@@ -12,16 +12,16 @@
 from sequoia_wire.codecs import encode
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.directories import Directory
-from sequoia_rollouts.load_planners import LoadPlanner
-from sequoia_rollouts.orders import (
+from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.weights.load_planners import LoadPlanner
+from sequoia_rollouts.weights.orders import (
     DesiredVersion,
     OrderPermit,
     OrderSender,
 )
-from sequoia_rollouts.ownership import OwnedDuty, OwnershipTable
-from sequoia_rollouts.senders import Sender
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.fleet.ownership import OwnedDuty, OwnershipTable
+from sequoia_rollouts.targets.senders import Sender
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     Committer,
     ConflictError,
@@ -29,7 +29,7 @@
     RowWrite,
     Transaction,
 )
-from sequoia_rollouts.tables import Duty, duty_key
+from sequoia_rollouts.storage.tables import Duty, duty_key
 
 POLL_INTERVAL = timedelta(milliseconds=50)
 COMMIT_TIMEOUT = timedelta(milliseconds=600)
--- a/packages/rollouts/tests/fleet_simulation.py
+++ b/packages/rollouts/tests/fleet_simulation.py
@@ -14,12 +14,12 @@
 from sequoia_policy.rates import StoreRates
 from sequoia_policy.store_clocks import StoreClock
 from sequoia_policy.verdicts import Verdict
-from sequoia_rollouts.censuses import Census
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.lease_keepers import LeaseKeeper
-from sequoia_rollouts.own_leases import OwnLease
-from sequoia_rollouts.stores import ConflictError, Row, RowPage
-from sequoia_rollouts.tables import COORDINATORS
+from sequoia_rollouts.fleet.censuses import Census
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.fleet.lease_keepers import LeaseKeeper
+from sequoia_rollouts.fleet.own_leases import OwnLease
+from sequoia_rollouts.storage.stores import ConflictError, Row, RowPage
+from sequoia_rollouts.storage.tables import COORDINATORS
 
 TICK = timedelta(milliseconds=100)
 PARTITION_RATE = 150  # transactions per second
--- a/packages/rollouts/tests/ownership_model.py
+++ b/packages/rollouts/tests/ownership_model.py
@@ -15,13 +15,14 @@
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.submissions import Ownership
 from sequoia_policy.verdicts import Verdict
-from sequoia_rollouts import sweepers, weights
-from sequoia_rollouts.adoptions import Adopter
-from sequoia_rollouts.heartbeats import HeartbeatService
-from sequoia_rollouts.lease_keepers import LeaseKeeper
-from sequoia_rollouts.own_leases import OwnLease
-from sequoia_rollouts.ownership import OwnedSubmission, OwnershipTable
-from sequoia_rollouts.stores import (
+from sequoia_rollouts.process import sweepers
+from sequoia_rollouts.weights import weight_managers
+from sequoia_rollouts.submissions.adoptions import Adopter
+from sequoia_rollouts.fleet.heartbeats import HeartbeatService
+from sequoia_rollouts.fleet.lease_keepers import LeaseKeeper
+from sequoia_rollouts.fleet.own_leases import OwnLease
+from sequoia_rollouts.fleet.ownership import OwnedSubmission, OwnershipTable
+from sequoia_rollouts.storage.stores import (
     ABSENT,
     Changes,
     Committer,
@@ -31,7 +32,7 @@
     RowPage,
     Transaction,
 )
-from sequoia_rollouts.tables import (
+from sequoia_rollouts.storage.tables import (
     read_ownership,
     submission_key,
     write_ownership,
@@ -176,7 +177,7 @@
     keeper: LeaseKeeper = field(init=False)
     table: OwnershipTable = field(init=False)
     adopter: Adopter = field(init=False)
-    manager: weights.WeightManager = field(init=False)
+    manager: weight_managers.WeightManager = field(init=False)
     running: dict = field(factory=dict)
     configuration: int = 0
     disturbed_at: timedelta = timedelta()
@@ -201,7 +202,7 @@
         )
         self.table.follower.find_feed_interval = timedelta
         self.adopter = Adopter(self.table)
-        self.manager = weights.WeightManager(
+        self.manager = weight_managers.WeightManager(
             self.clock,
             None,
             self.table,
--- a/packages/rollouts/tests/test_acceptances.py
+++ b/packages/rollouts/tests/test_acceptances.py
@@ -5,8 +5,8 @@
 import curio
 import orjson
 import pytest
-from sequoia_rollouts.acceptance_markers import ACCEPTANCES
-from sequoia_rollouts.tables import OWNERSHIP, SPECIFICATIONS
+from sequoia_rollouts.submissions.acceptance_markers import ACCEPTANCES
+from sequoia_rollouts.storage.tables import OWNERSHIP, SPECIFICATIONS
 from sites import make_lot, make_manifest, open_site, wait_until
 
 MAX_BODY_BYTES = 10_000_000
--- a/packages/rollouts/tests/test_coordination.py
+++ b/packages/rollouts/tests/test_coordination.py
@@ -4,8 +4,8 @@
 
 import pytest
 from fleet_simulation import PARTITION_RATE, simulate
-from sequoia_rollouts.stores import RowKey, RowWrite, Transaction
-from sequoia_rollouts.tables import COORDINATORS, lease_key
+from sequoia_rollouts.storage.stores import RowKey, RowWrite, Transaction
+from sequoia_rollouts.storage.tables import COORDINATORS, lease_key
 
 DOMAINS = 5
 HOSTS_PER_DOMAIN = 40
--- a/packages/rollouts/tests/test_crash_sharing.py
+++ b/packages/rollouts/tests/test_crash_sharing.py
@@ -9,10 +9,10 @@
 from fleet_simulation import BoundedStore, FleetView, ManualClock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.registries import RegisteredTarget, Registration
-from sequoia_rollouts.live_attempts import LiveRequest
-from sequoia_rollouts.quarantines import Quarantine
-from sequoia_rollouts.senders import OutgoingRequest
-from sequoia_rollouts.stores import Row
+from sequoia_rollouts.live.live_attempts import LiveRequest
+from sequoia_rollouts.live.quarantines import Quarantine
+from sequoia_rollouts.targets.senders import OutgoingRequest
+from sequoia_rollouts.storage.stores import Row
 from sequoia_wire.messages import RequestHead
 
 SECOND = timedelta(seconds=1)
--- a/packages/rollouts/tests/test_decoders.py
+++ b/packages/rollouts/tests/test_decoders.py
@@ -11,10 +11,10 @@
 from sequoia_platform.stores import read_rows
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.submissions import ItemResult, ItemState
-from sequoia_rollouts.directories import NamedVersion
-from sequoia_rollouts.events import EventReader
-from sequoia_rollouts.stores import Row, RowKey
-from sequoia_rollouts.result_pages import ResultPage
+from sequoia_rollouts.targets.directories import NamedVersion
+from sequoia_rollouts.streaming.events import EventReader
+from sequoia_rollouts.storage.stores import Row, RowKey
+from sequoia_rollouts.submissions.result_pages import ResultPage
 from sequoia_wire.messages import ResponseHead, encode_headers
 from sites import make_lot, make_manifest
 
--- a/packages/rollouts/tests/test_garbage.py
+++ b/packages/rollouts/tests/test_garbage.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 from sequoia_platform.ingress import Ingress
-from sequoia_rollouts.garbage import freeze_objects
+from sequoia_rollouts.base.garbage import freeze_objects
 from sites import open_site, wait_until
 
 
--- a/packages/rollouts/tests/test_handoffs.py
+++ b/packages/rollouts/tests/test_handoffs.py
@@ -6,8 +6,8 @@
 from attrs import define
 from engine_standin import SCORERS
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_rollouts import handoffs
-from sequoia_rollouts.crash_checks import Found
+from sequoia_rollouts.live import handoffs
+from sequoia_rollouts.targets.crash_checks import Found
 from sequoia_wire.clients import HttpClient
 from sites import open_site, wait_until
 from test_cut_off import cut
--- a/packages/rollouts/tests/test_hedges.py
+++ b/packages/rollouts/tests/test_hedges.py
@@ -6,7 +6,7 @@
 from engine_standin import SERVICE
 from sequoia_policy.permits import Urgency
 from sequoia_policy.routing import Route, RouteKind
-from sequoia_rollouts.hedges import RouteDurations
+from sequoia_rollouts.live.hedges import RouteDurations
 from sites import make_manifest, open_site, wait_until
 
 OBJECTIVE = timedelta(milliseconds=200)  # of the routes of the site
--- a/packages/rollouts/tests/test_model.py
+++ b/packages/rollouts/tests/test_model.py
@@ -24,9 +24,9 @@
 from ownership_model import BrokenPromiseError, OwnershipModel
 from sequoia_policy import preconditions
 from sequoia_policy.store_clocks import StoreClock
-from sequoia_rollouts import stores
-from sequoia_rollouts.ownership import OwnershipTable
-from sequoia_rollouts.weights import WeightManager
+from sequoia_rollouts.storage import stores
+from sequoia_rollouts.fleet.ownership import OwnershipTable
+from sequoia_rollouts.weights.weight_managers import WeightManager
 
 EXAMPLES = int(os.environ.get('EXAMPLES', '12'))
 IS_LONG = 'EXAMPLES' in os.environ  # a search by hand draws other examples
--- a/packages/rollouts/tests/test_odd_rows.py
+++ b/packages/rollouts/tests/test_odd_rows.py
@@ -10,12 +10,13 @@
 from sequoia_platform.entries import PlatformReader
 from sequoia_platform.stores import read_rows
 from sequoia_policy.errors import ServiceError
-from sequoia_rollouts import permit_rows, published_targets, quarantines
-from sequoia_rollouts.acceptance_markers import ACCEPTANCES
-from sequoia_rollouts.events import EventReader
-from sequoia_rollouts.stores import Row, RowKey
-from sequoia_rollouts.supervisors import PART_FAILED
-from sequoia_rollouts.tables import (
+from sequoia_rollouts.live import quarantines
+from sequoia_rollouts.targets import permit_rows, published_targets
+from sequoia_rollouts.submissions.acceptance_markers import ACCEPTANCES
+from sequoia_rollouts.streaming.events import EventReader
+from sequoia_rollouts.storage.stores import Row, RowKey
+from sequoia_rollouts.base.supervisors import PART_FAILED
+from sequoia_rollouts.storage.tables import (
     COORDINATORS,
     HOSTS,
     KEYS,
--- a/packages/rollouts/tests/test_ownership.py
+++ b/packages/rollouts/tests/test_ownership.py
@@ -4,7 +4,7 @@
 from attrs import evolve
 from sequoia_policy.coordinators import list_lease_names
 from sequoia_policy.liveness import Heartbeat
-from sequoia_rollouts.tables import COORDINATORS, submission_key
+from sequoia_rollouts.storage.tables import COORDINATORS, submission_key
 from sequoia_policy.submissions import Ownership
 from sequoia_wire.codecs import decode, encode
 from sites import DEFAULT_TIMEOUT, open_site, wait_until
--- a/packages/rollouts/tests/test_peer_keys.py
+++ b/packages/rollouts/tests/test_peer_keys.py
@@ -6,13 +6,13 @@
 from fleet_simulation import simulate
 from sequoia_policy.errors import ServiceError
 from sequoia_policy.reachability import PeerState
-from sequoia_rollouts.peer_keys import (
+from sequoia_rollouts.fleet.peer_keys import (
     KEY_LIFETIME,
     READ_INTERVAL,
     SIGN_AFTER,
     KeyRing,
 )
-from sequoia_rollouts.peers import PeerMessage
+from sequoia_rollouts.fleet.peers import PeerMessage
 from sequoia_wire.codecs import encode
 from sites import open_site, wait_until
 
--- a/packages/rollouts/tests/test_permits.py
+++ b/packages/rollouts/tests/test_permits.py
@@ -11,7 +11,7 @@
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget, Registration
-from sequoia_rollouts.permits import PermitTaker
+from sequoia_rollouts.targets.permits import PermitTaker
 
 SECOND = timedelta(seconds=1)
 TICK = timedelta(milliseconds=10)
--- a/packages/rollouts/tests/test_progress.py
+++ b/packages/rollouts/tests/test_progress.py
@@ -9,15 +9,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from sequoia_policy.submissions import Item, Submission
-from sequoia_rollouts.batches import MAX_BYTES
-from sequoia_rollouts.generations import GeneratedEvent, Generation
-from sequoia_rollouts.progress import (
+from sequoia_rollouts.storage.batches import MAX_BYTES
+from sequoia_rollouts.streaming.generations import GeneratedEvent, Generation
+from sequoia_rollouts.submissions.progress import (
     ProgressSaver,
     SavedEvents,
     restore_generations,
 )
-from sequoia_rollouts.stores import ABSENT, Row, RowKey
-from sequoia_rollouts.tables import MAX_ROW_BYTES
+from sequoia_rollouts.storage.stores import ABSENT, Row, RowKey
+from sequoia_rollouts.storage.tables import MAX_ROW_BYTES
 from sequoia_wire.codecs import encode
 from sites import open_site, wait_until
 
--- a/packages/rollouts/tests/test_publications.py
+++ b/packages/rollouts/tests/test_publications.py
@@ -12,7 +12,7 @@
     Registration,
     TargetRegistry,
 )
-from sequoia_rollouts.published_targets import MARKER, TABLE
+from sequoia_rollouts.targets.published_targets import MARKER, TABLE
 from sites import open_site, wait_until
 
 MAX_DELAY = 4  # seconds for which a target that leaves still serves
--- a/packages/rollouts/tests/test_releases.py
+++ b/packages/rollouts/tests/test_releases.py
@@ -6,7 +6,7 @@
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.release_splits import BUCKETS
 from sequoia_policy.verdicts import Verdict
-from sequoia_rollouts.release_splits import TABLE
+from sequoia_rollouts.targets.release_splits import TABLE
 from sites import open_site, wait_until
 from test_streams import fetch_stream, open_streams
 
--- a/packages/rollouts/tests/test_reloads.py
+++ b/packages/rollouts/tests/test_reloads.py
@@ -5,8 +5,8 @@
 from attrs import evolve
 from sequoia_platform.settings import SettingsError, read_settings
 from sequoia_policy.rates import StoreRates
-from sequoia_rollouts import reloads
-from sequoia_rollouts.settings import HostSettings
+from sequoia_rollouts.base import reloads
+from sequoia_rollouts.base.settings import HostSettings
 from sites import ANY_PORT
 
 SETTINGS = HostSettings(
--- a/packages/rollouts/tests/test_stalls.py
+++ b/packages/rollouts/tests/test_stalls.py
@@ -12,8 +12,8 @@
 from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget, Registration
 from sequoia_policy.verdicts import Verdict
-from sequoia_rollouts.events import MAX_EVENT_BYTES, EventReader
-from sequoia_rollouts.senders import OutgoingRequest, Sender
+from sequoia_rollouts.streaming.events import MAX_EVENT_BYTES, EventReader
+from sequoia_rollouts.targets.senders import OutgoingRequest, Sender
 from sequoia_wire.clocks import SystemClock
 from sequoia_wire.messages import RequestHead, parse_address
 from sites import open_site, wait_until
--- a/packages/rollouts/tests/test_store_clock.py
+++ b/packages/rollouts/tests/test_store_clock.py
@@ -7,10 +7,10 @@
 from attrs import define
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.quarantines import CrashRecord
-from sequoia_rollouts.live_attempts import LiveRequest
-from sequoia_rollouts.peer_keys import PeerKeys
-from sequoia_rollouts.senders import OutgoingRequest
-from sequoia_rollouts.tables import COORDINATORS
+from sequoia_rollouts.live.live_attempts import LiveRequest
+from sequoia_rollouts.fleet.peer_keys import PeerKeys
+from sequoia_rollouts.targets.senders import OutgoingRequest
+from sequoia_rollouts.storage.tables import COORDINATORS
 from sequoia_wire.codecs import encode
 from sequoia_wire.messages import RequestHead
 from sites import AUTHORITY, find_limits, open_site, wait_until
--- a/packages/rollouts/tests/test_supervisors.py
+++ b/packages/rollouts/tests/test_supervisors.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_rollouts.supervisors import ServiceErrorFilter
+from sequoia_rollouts.base.supervisors import ServiceErrorFilter
 
 
 @pytest.mark.parametrize(
--- a/packages/rollouts/tests/test_upkeep.py
+++ b/packages/rollouts/tests/test_upkeep.py
@@ -4,7 +4,7 @@
 
 import curio
 from attrs import evolve
-from sequoia_rollouts.supervisors import supervise
+from sequoia_rollouts.base.supervisors import supervise
 from sites import open_site, wait_until
 
 
--- a/packages/rollouts/tests/test_weights.py
+++ b/packages/rollouts/tests/test_weights.py
@@ -7,8 +7,8 @@
 from engine_standin import MODEL
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.verdicts import Verdict
-from sequoia_rollouts.orders import OrderSender
-from sequoia_rollouts.weights import MAX_OWNERSHIP_AGE
+from sequoia_rollouts.weights.orders import OrderSender
+from sequoia_rollouts.weights.weight_managers import MAX_OWNERSHIP_AGE
 from sites import open_site, wait_until
 from test_runners import UnresponsiveStore
 
