Give duties one mechanism, and hosts an interface to the platform's API

Cause: only WeightManager knew how to hold a duty; usage reports and capacity need the same rules. Change: DutyHolder (fleet) has the lease, the fencing token and the wait after a takeover, unchanged; the model check runs it. Settings for duties, keys, memory and descriptors are read.

--- a/packages/rollouts/sequoia_rollouts/base/settings.py
+++ b/packages/rollouts/sequoia_rollouts/base/settings.py
@@ -10,6 +10,25 @@
 RELOADABLE = frozenset(('capacity', 'order_lease', 'rates', 'stop_limit'))
 
 
+@frozen
+class DutySettings:
+    """Which calls of the platform's API one host makes for all.
+
+    Attributes:
+        reports_usage: Whether usage of client accounts is reported.
+        orders_capacity: Whether targets are ordered.
+        call_rate: Calls per second that the API accepts from all hosts.
+        report_window: Length of a window of usage.
+        report_limit: Time from the end of a window until its report is due.
+    """
+
+    reports_usage: bool = False
+    orders_capacity: bool = False
+    call_rate: float = 1
+    report_window: timedelta = timedelta(seconds=5)
+    report_limit: timedelta = timedelta(seconds=10)
+
+
 @frozen
 class HostSettings:
     """Settings of one host.
@@ -26,6 +45,13 @@
             engines refuse the orders of an earlier holder.
         capacity: Processor cores of the host.
         rates: Call rates of the store, shared by all hosts.
+        duties: Calls of the platform's API that one host makes for all.
+        key_age_limit: Age of the configuration from which keys of client
+            accounts are not accepted; None if a host without the store goes
+            on with the keys that it knows.
+        memory: Bytes of memory of the host; None if unknown.
+        descriptors: File descriptors that the process may open; None if
+            unknown.
     """
 
     name: str
@@ -38,3 +64,7 @@
     metrics: Address | None = None
     capacity: float = 1
     rates: StoreRates = StoreRates()
+    duties: DutySettings = DutySettings()
+    key_age_limit: timedelta | None = None
+    memory: int | None = None
+    descriptors: int | None = None
--- a/packages/rollouts/sequoia_rollouts/process/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -6,15 +6,14 @@
 from datetime import timedelta
 
 import curio
-from attrs import define, field, frozen
+from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_wire.exchanges import Exchange, ServerLimits
 from sequoia_wire.logs import OUTPUT, Log
 from sequoia_wire.servers import HttpServer
 
-from sequoia_rollouts.targets.dialects import TargetDialect
 from sequoia_rollouts.fleet.coordination import Coordination
-from sequoia_rollouts.targets.directories import Directory, DirectoryReader
+from sequoia_rollouts.targets.directories import Directory
 from sequoia_rollouts.base.garbage import freeze_objects
 from sequoia_rollouts.fleet.heartbeats import HeartbeatService
 from sequoia_rollouts.submissions.item_runs import build_dependencies
@@ -25,9 +24,10 @@
 from sequoia_rollouts.base.reloads import SettingsReloader
 from sequoia_rollouts.submissions.result_reads import ResultReader
 from sequoia_rollouts.base.settings import HostSettings
+from sequoia_rollouts.process.platforms import Platform
 from sequoia_rollouts.process.shutdowns import Shutdown
 from sequoia_rollouts.process.status import StatusServers
-from sequoia_rollouts.storage.stores import Committer, Store
+from sequoia_rollouts.storage.stores import Committer
 from sequoia_rollouts.submissions.submission_handlers import SubmissionHandler
 from sequoia_rollouts.base.supervisors import filter_loop_log, supervise
 from sequoia_rollouts.process.sweepers import Sweeper
@@ -39,21 +39,6 @@
 HOST_STARTED = log.event('host started', 'host', 'owner')
 
 
-@frozen
-class Platform:
-    """Interfaces to the platform that the host runs on.
-
-    Attributes:
-        read_settings: Returns the current settings; raises
-            ``ValueError`` if they cannot be used.
-    """
-
-    store: Store
-    dialect: TargetDialect
-    reader: DirectoryReader
-    read_settings: Callable[[], HostSettings]
-
-
 @define(eq=False)
 class RolloutHost:
     """One host: its components, its start and its shutdown.
--- a/packages/rollouts/tests/ownership_model.py
+++ b/packages/rollouts/tests/ownership_model.py
@@ -18,6 +18,7 @@
 from sequoia_rollouts.process import sweepers
 from sequoia_rollouts.weights import weight_managers
 from sequoia_rollouts.submissions.adoptions import Adopter
+from sequoia_rollouts.fleet.duty_holders import DutyHolder
 from sequoia_rollouts.fleet.heartbeats import HeartbeatService
 from sequoia_rollouts.fleet.lease_keepers import LeaseKeeper
 from sequoia_rollouts.fleet.own_leases import OwnLease
@@ -205,11 +206,15 @@
         self.manager = weight_managers.WeightManager(
             self.clock,
             None,
-            self.table,
-            Committer(self.store, self.clock),
+            DutyHolder(
+                self.clock,
+                self.table,
+                Committer(self.store, self.clock),
+                'weights/pool',
+                ORDER_LEASE,
+            ),
             None,
             NoLoads(ModelService()),
-            ORDER_LEASE,
         )
 
     async def apply_change(self, owned):
@@ -242,9 +247,9 @@
             self.configuration = model.configuration
         for submission_id in tuple(self.running):
             model.run_item(self, submission_id)
-        owned = self.table.duties.get(self.manager.duty)
+        owned = self.table.duties.get(self.manager.duty.name)
         if owned and owned.owner == self.heartbeats.owner:
-            if self.manager.may_order(owned):
+            if self.manager.duty.may_act(owned):
                 model.order(self)
 
     def is_due(self, name, interval):
--- a/packages/rollouts/tests/sites.py
+++ b/packages/rollouts/tests/sites.py
@@ -20,7 +20,8 @@
 from sequoia_platform.entries import PlatformReader
 from sequoia_platform.ingress import Ingress
 from sequoia_platform.stores import PlatformStore
-from sequoia_rollouts.process.hosts import Platform, RolloutHost
+from sequoia_rollouts.process.hosts import RolloutHost
+from sequoia_rollouts.process.platforms import Platform
 from sequoia_rollouts.base.settings import HostSettings
 from sequoia_wire.clients import HttpClient, Timeouts
 from sequoia_wire.clocks import SystemClock
--- a/packages/rollouts/tests/test_model.py
+++ b/packages/rollouts/tests/test_model.py
@@ -26,7 +26,7 @@
 from sequoia_policy.store_clocks import StoreClock
 from sequoia_rollouts.storage import stores
 from sequoia_rollouts.fleet.ownership import OwnershipTable
-from sequoia_rollouts.weights.weight_managers import WeightManager
+from sequoia_rollouts.fleet.duty_holders import DutyHolder
 
 EXAMPLES = int(os.environ.get('EXAMPLES', '12'))
 IS_LONG = 'EXAMPLES' in os.environ  # a search by hand draws other examples
@@ -159,14 +159,14 @@
     def hand_over_duty(self, is_lost):
         """A holder is stopped; the next one's answer may be lost."""
         for host in tuple(self.model.hosts.values()):
-            owned = host.table.duties.get(host.manager.duty)
+            owned = host.table.duties.get(host.manager.duty.name)
             if owned and owned.owner == host.heartbeats.owner:
                 self.do(self.hand_over(host, is_lost=is_lost))
 
     async def hand_over(self, host, *, is_lost):
         own = host.heartbeats.own
         own.heartbeat = evolve(own.heartbeat, draining=True)
-        await host.manager.release()
+        await host.manager.duty.release()
         self.model.store.loses_duty = is_lost
         await self.model.run(timedelta(seconds=2))
         self.model.store.loses_duty = False
@@ -224,14 +224,14 @@
     assert TOTALS['accepted'] > 0
 
 
-def acquire_after_answer(manager):
+def acquire_after_answer(holder):
     """Set the wait only once the write was answered, as it was before."""
 
     async def acquire(self, owned):
         version = owned.version if owned else 0
         if not await self._write(version, self.ownership.heartbeats.owner):
             return
-        self.earliest_order_at = self._find_earliest_order(owned)
+        self.earliest_act_at = self._find_earliest_act(owned)
 
     return acquire
 
@@ -247,7 +247,7 @@
     ),
     'unknown clock': mock.patch.object(StoreClock, 'now', read_unknown_as_own),
     'wait after the answer': mock.patch.object(
-        WeightManager, '_acquire', acquire_after_answer(WeightManager)
+        DutyHolder, '_acquire', acquire_after_answer(DutyHolder)
     ),
     'table followed by coordinators only': mock.patch.multiple(
         OwnershipTable,
--- a/packages/rollouts/tests/test_path.py
+++ b/packages/rollouts/tests/test_path.py
@@ -476,15 +476,15 @@
             host = site.hosts[0]
             await wait_until(lambda: host.ownership.duties)
             manager = host.weights.managers['pool']
-            owned = host.ownership.duties[manager.duty]
-            await wait_until(lambda: manager.may_order(owned))
+            owned = host.ownership.duties[manager.duty.name]
+            await wait_until(lambda: manager.duty.may_act(owned))
             site.store.down = 503
             await wait_until(lambda: not host.heartbeats.holds_lease())
             await curio.sleep(2)
             host.heartbeats.own.renewed_at = host.clock.elapsed()
-            allowed_while_unknown = manager.may_order(owned)
+            allowed_while_unknown = manager.duty.may_act(owned)
             site.store.down = 0
-            await wait_until(lambda: manager.may_order(owned))
+            await wait_until(lambda: manager.duty.may_act(owned))
             return allowed_while_unknown
 
     assert curio.run(main) is False
--- a/packages/rollouts/tests/test_weights.py
+++ b/packages/rollouts/tests/test_weights.py
@@ -8,7 +8,7 @@
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.verdicts import Verdict
 from sequoia_rollouts.weights.orders import OrderSender
-from sequoia_rollouts.weights.weight_managers import MAX_OWNERSHIP_AGE
+from sequoia_rollouts.fleet.duty_holders import MAX_OWNERSHIP_AGE
 from sites import open_site, wait_until
 from test_runners import UnresponsiveStore
 
@@ -57,7 +57,9 @@
             await wait_until(lambda: owns_duty(site.hosts[0]))
             second = await site.start_host('h2')
             manager = await find_manager(second)
-            manager.committer = CommitterWithoutResponse(manager.committer)
+            manager.duty.committer = CommitterWithoutResponse(
+                manager.duty.committer
+            )
             site.hosts[0].coordination.start_draining()
             await site.hosts[0].weights.release()
             released_at = second.clock.elapsed()
@@ -65,7 +67,7 @@
             await wait_until(lambda: owns_duty(second))
             await wait_until(lambda: site.engines[0].orders)
             waited = second.clock.elapsed() - released_at
-            return manager.committer.commits, waited
+            return manager.duty.committer.commits, waited
 
     commits, waited = curio.run(main)
     assert commits > 0
@@ -99,8 +101,8 @@
             host = site.hosts[0]
             await wait_until(lambda: owns_duty(host))
             manager = await find_manager(host)
-            owned = host.ownership.duties[manager.duty]
-            await wait_until(lambda: manager.may_order(owned))
+            owned = host.ownership.duties[manager.duty.name]
+            await wait_until(lambda: manager.duty.may_act(owned))
             follower = host.ownership.follower
             store, follower.store = follower.store, UnresponsiveStore()
             site.store.down = 503
@@ -108,9 +110,9 @@
             site.store.down = 0
             await wait_until(host.heartbeats.holds_lease)
             is_view_new = follower.is_current(MAX_OWNERSHIP_AGE)
-            early = manager.may_order(owned)
+            early = manager.duty.may_act(owned)
             follower.store = store
-            await wait_until(lambda: manager.may_order(owned))
+            await wait_until(lambda: manager.duty.may_act(owned))
             return is_view_new, early
 
     assert curio.run(main) == (True, False)
@@ -126,8 +128,8 @@
             manager = await find_manager(host)
 
             async def lose_duty(_sender, _target, _announced, *, loading):
-                duty = host.ownership.duties[manager.duty]
-                host.ownership.duties[manager.duty] = evolve(
+                duty = host.ownership.duties[manager.duty.name]
+                host.ownership.duties[manager.duty.name] = evolve(
                     duty, owner='h9/b0', version=duty.version + 1000
                 )
 
