Let test processes that run side by side take different peer ports

Cause: test_broken_answers failed once with 'Address already in use' when seven pytest processes ran at once; each took peer ports from 20000 on, and another one could bind between the check and the bind. Change: each process begins in a block of its own.

--- a/packages/rollouts/tests/sites.py
+++ b/packages/rollouts/tests/sites.py
@@ -2,6 +2,7 @@
 
 import base64
 import itertools
+import os
 import socket
 from contextlib import asynccontextmanager
 from datetime import timedelta
@@ -228,7 +229,12 @@
                     return found
 
 
-PEER_PORTS = itertools.cycle(range(20000, 30000))
+# Test processes that run side by side begin with ports of their own: between the
+# check and the bind of one, another could take the port.
+FIRST_PORT = 20000 + os.getpid() % 50 * 200
+PEER_PORTS = itertools.cycle(
+    (*range(FIRST_PORT, 30000), *range(20000, FIRST_PORT))
+)
 
 
 def find_peer_address():
