Check keys of client accounts, and let submissions belong to accounts

Cause: no line of the code knew a client account's key: unknown and missing keys were answered 200, the key went to targets, callers could name any account, and anyone could read and end any submission. Change: the configuration may list accounts; each request of a route that is not public needs a key, checked before its body is read; targets get the account's name and never the key; submissions, results, bodies and ends are for the account that submitted; a key is denied only by a configuration that the store has confirmed, and accepted by a host without the store, but not by one that was paused. Without accounts in the configuration nothing changes.

--- a/packages/policy/sequoia_policy/routing.py
+++ b/packages/policy/sequoia_policy/routing.py
@@ -2,11 +2,14 @@
 
 import enum
 import random
+from collections.abc import Mapping
 from datetime import timedelta
 from functools import cached_property
 
 from attrs import field, frozen
 
+from sequoia_policy.accounts import Account, digest_key, index_keys
+
 
 class RouteKind(enum.Enum):
     """Kind of requests on a route, which decides whether they are repeated."""
@@ -43,6 +46,7 @@
         max_age: Time after which an item of a submission is abandoned.
         single_version: Whether all tokens of one result must come from one
             model version.
+        public: Whether requests need no key of a client account.
     """
 
     name: str
@@ -59,6 +63,7 @@
     streaming: bool = False
     resumable: bool = False
     single_version: bool = False
+    public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -107,12 +112,17 @@
 
 @frozen
 class Configuration:
-    """One accepted version of routes, services and limits."""
+    """One accepted version of routes, services, limits and accounts.
+
+    Attributes:
+        accounts: The client accounts; None if callers need no key.
+    """
 
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: TrafficLimits = TrafficLimits()
+    accounts: tuple[Account, ...] | None = None
     by_host: dict[str, list[Route]] = field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
@@ -134,6 +144,23 @@
             for share in route.shares
         )
 
+    @cached_property
+    def accounts_by_key(self) -> Mapping[bytes, Account]:
+        """The account of each key, by the digest of the key."""
+        return index_keys(self.accounts or ())
+
+    @cached_property
+    def has_public_submissions(self) -> bool:
+        """Whether submissions are accepted without a key."""
+        return any(
+            route.public and route.kind is RouteKind.ROLLOUT
+            for route in self.routes
+        )
+
+    def find_account(self, key: str) -> Account | None:
+        """Return the client account that a key belongs to, or None."""
+        return self.accounts_by_key.get(digest_key(key))
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or None."""
         for route in self.by_host.get(host.lower(), ()):
--- a/packages/policy/sequoia_policy/submissions.py
+++ b/packages/policy/sequoia_policy/submissions.py
@@ -54,6 +54,7 @@
         model: Model that generates; empty for any.
         min_version: Oldest weight version that may generate a token.
         wanted_groups: Number of complete groups that the trainer waits for.
+        account: Client account that submitted it; empty for none.
     """
 
     id: str
@@ -64,6 +65,7 @@
     model: str = ''
     min_version: int = 0
     wanted_groups: int = 0
+    account: str = ''
 
     def find_item(self, item_id: str) -> Item | None:
         """Return the item with an id, or None."""
@@ -111,6 +113,8 @@
         newest_version: Newest named version at the time of acceptance.
         configuration_version: Version of the configuration at that time; 0 if
             unknown.
+        account: Client account that submitted it; empty for none, and in rows
+            that a build without accounts has rewritten.
     """
 
     owner: str
@@ -122,6 +126,7 @@
     min_version: int = 0
     newest_version: int = 0
     configuration_version: int = 0
+    account: str = ''
 
 
 def find_allowed_staleness(steps: Iterable[Ownership], model: str) -> int:
--- a/packages/policy/tests/test_imports.py
+++ b/packages/policy/tests/test_imports.py
@@ -38,6 +38,7 @@
 # Folders of sequoia_rollouts, each with those that it may import from.
 FOLDERS = PACKAGES / 'rollouts' / 'sequoia_rollouts'
 FOLDER_IMPORTS = {
+    'accounts': {'targets'},
     'base': set(),
     'storage': set(),
     'fleet': {'base', 'storage'},
@@ -47,6 +48,7 @@
     'submissions': {'base', 'storage', 'fleet', 'targets', 'streaming'},
     'weights': {'base', 'storage', 'fleet', 'targets'},
     'process': {
+        'accounts',
         'base',
         'storage',
         'fleet',
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: who may call, and what belongs to whom."""
--- a/packages/rollouts/sequoia_rollouts/live/handoffs.py
+++ b/packages/rollouts/sequoia_rollouts/live/handoffs.py
@@ -84,6 +84,8 @@
         nonce: Random text that the reply repeats.
         time_left: Time until the caller's deadline.
         attempts: Attempts of this host that may have run.
+        account: Name of the client account; empty for none.
+        priority: Priority of the client account; None for that of the route.
     """
 
     nonce: str
@@ -92,6 +94,8 @@
     path: str
     time_left: timedelta
     attempts: int = 0
+    account: str = ''
+    priority: int | None = None
 
 
 @define(eq=False)
@@ -173,6 +177,8 @@
             request.path,
             time_left,
             attempts.count,
+            request.account,
+            request.priority,
         )
         received = await self.client.fetch(
             address,
@@ -279,6 +285,8 @@
             handoff.time_left,
             is_handed_on=True,
             attempts_before=handoff.attempts,
+            account=handoff.account,
+            priority=handoff.priority,
         )
         reply = HandoffReply(handoff.nonce)
         try:
--- a/packages/rollouts/sequoia_rollouts/live/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_attempts.py
@@ -33,6 +33,8 @@
             empty if it is not named.
         is_handed_on: Whether another host has handed it on.
         attempts_before: Attempts of that host that may have run.
+        account: Name of the client account; empty for none.
+        priority: Priority of the client account; None for that of the route.
     """
 
     outgoing: OutgoingRequest
@@ -44,6 +46,8 @@
     resumes: str = ''
     is_handed_on: bool = False
     attempts_before: int = 0
+    account: str = ''
+    priority: int | None = None
 
     @property
     def is_resumed(self) -> bool:
@@ -96,6 +100,13 @@
     preferred_release: str = ''
     tried: set[str] = field(factory=set)
 
+    @property
+    def priority(self) -> int:
+        """How urgent the request is; 0 is most urgent."""
+        if self.request.priority is None:
+            return self.route.priority
+        return self.request.priority
+
     @property
     def has_attempts_left(self) -> bool:
         """Whether another attempt may follow the current one."""
--- a/packages/rollouts/sequoia_rollouts/live/live_paths.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_paths.py
@@ -56,6 +56,7 @@
     'refusals',
     'seconds',
     'config_version',
+    'account',
     kind=LogKind.SUCCESS,
 )
 
@@ -297,6 +298,7 @@
             refusals=attempts.refusals,
             seconds=duration.total_seconds(),
             config_version=self.directory.configuration.version,
+            account=request.account,
         )
 
 
--- a/packages/rollouts/sequoia_rollouts/live/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_streams.py
@@ -144,7 +144,7 @@
             target.name,
             attempts.deadline - self.clock.elapsed(),
             resume_after=stream.last_event_id,
-            priority=min(attempts.route.priority, LOWEST_LIVE_PRIORITY),
+            priority=min(attempts.priority, LOWEST_LIVE_PRIORITY),
         )
         outgoing = attempts.request.outgoing
         head = await self.sender.start(call, target, outgoing, labels)
--- a/packages/rollouts/sequoia_rollouts/process/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -2,28 +2,30 @@
 
 import random
 import signal
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import curio
 from attrs import define, field
 from sequoia_policy.clocks import Clock
-from sequoia_wire.exchanges import Exchange, ServerLimits
 from sequoia_wire.logs import OUTPUT, Log
-from sequoia_wire.servers import HttpServer
+from sequoia_wire.servers import Handler, HttpServer
 
 from sequoia_rollouts.fleet.coordination import Coordination
 from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.accounts.authenticators import Authenticator
 from sequoia_rollouts.base.garbage import freeze_objects
 from sequoia_rollouts.fleet.heartbeats import HeartbeatService
 from sequoia_rollouts.submissions.item_runs import build_dependencies
 from sequoia_rollouts.live.live_paths import LivePath
 from sequoia_rollouts.fleet.ownership import OwnedSubmission, OwnershipTable
-from sequoia_rollouts.submissions.peer_reads import PeerReader
 from sequoia_rollouts.targets.publishers import RegistrationPublisher
 from sequoia_rollouts.base.reloads import SettingsReloader
-from sequoia_rollouts.submissions.result_reads import ResultReader
+from sequoia_rollouts.submissions.result_reads import (
+    ResultReader,
+    build_result_reader,
+)
 from sequoia_rollouts.base.settings import HostSettings
+from sequoia_rollouts.process.fronts import make_server_limits
 from sequoia_rollouts.process.platforms import Platform
 from sequoia_rollouts.process.shutdowns import Shutdown
 from sequoia_rollouts.process.status import StatusServers
@@ -57,6 +59,7 @@
     coordination: Coordination = field(init=False)
     heartbeats: HeartbeatService = field(init=False)
     directory: Directory = field(init=False)
+    authenticator: Authenticator = field(init=False)
     ownership: OwnershipTable = field(init=False)
     live: LivePath = field(init=False)
     submission_handler: SubmissionHandler = field(init=False)
@@ -84,6 +87,9 @@
             self.heartbeats.find_feed_interval,
         )
         self.directory.observers.append(self._apply_limits)
+        self.authenticator = Authenticator(
+            self.directory, self.settings.key_age_limit
+        )
         self.ownership = OwnershipTable(
             store,
             self.clock,
@@ -115,11 +121,11 @@
             dependencies,
             self.ownership,
         )
-        self.results = ResultReader(
+        self.results = build_result_reader(
             self.clock,
-            self.directory,
             self.submission_handler,
-            PeerReader(self.ownership, self.coordination.key_ring, self.rng),
+            self.coordination.key_ring,
+            self.rng,
         )
         self.weights = WeightManagers(
             self.clock,
@@ -154,7 +160,7 @@
         times = [time for time in responses if time is not None]
         return self.clock.elapsed() - max(times) if times else None
 
-    async def run(self, handler: Callable[[Exchange], Awaitable[None]]) -> None:
+    async def run(self, handler: Handler) -> None:
         """Serve until a signal requests the stop.
 
         Args:
@@ -172,7 +178,7 @@
 
     async def start(
         self,
-        handler: Callable[[Exchange], Awaitable[None]],
+        handler: Handler,
         group: curio.TaskGroup,
     ) -> None:
         """Open the host's addresses and run its loops in a group of tasks."""
@@ -240,12 +246,8 @@
 
     def _apply_limits(self) -> None:
         """Apply the configured limits for requests of callers."""
-        limits = self.directory.configuration.limits
-        self.front.limits = ServerLimits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            progress=limits.header_timeout,
-            idle=limits.idle_timeout,
+        self.front.limits = make_server_limits(
+            self.directory.configuration.limits
         )
 
     def _on_reload(self, _signal_number: int, _frame: object) -> None:
--- a/packages/rollouts/sequoia_rollouts/storage/followers.py
+++ b/packages/rollouts/sequoia_rollouts/storage/followers.py
@@ -52,6 +52,7 @@
         last_version: Newest version up to which changes were ever applied.
         store_responded_at: When the store last responded.
         store_failed_at: When the store last failed to respond.
+        failed_read_at: When the read began that failed last.
     """
 
     store: Store
@@ -66,6 +67,7 @@
     last_version: int = 0
     store_responded_at: timedelta | None = None
     store_failed_at: timedelta | None = None
+    failed_read_at: timedelta | None = None
     listed: curio.Event = field(factory=curio.Event)
 
     async def run(self) -> None:
@@ -120,12 +122,14 @@
         return self.clock.elapsed() - self.store_failed_at < span
 
     async def _attempt(self) -> None:
+        started_at = self.clock.elapsed()
         try:
             await self.step()
         except HistoryLostError:
             HISTORY_LOST.write(table=self.table)
             self.version = None
         except ServiceError as failure:
+            self.failed_read_at = started_at
             self._record_failure(failure)
             await curio.sleep(RETRY_BACKOFF.total_seconds())
 
--- a/packages/rollouts/sequoia_rollouts/submissions/peer_reads.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/peer_reads.py
@@ -54,11 +54,17 @@
 
 @frozen
 class PageReply:
-    """The stored results of a submission from a position on."""
+    """The stored results of a submission from a position on.
+
+    Attributes:
+        account: Client account of the submission, empty for none; None if the
+            sender does not tell.
+    """
 
     nonce: str
     total: int
     results: tuple[ItemResult, ...] = field(repr=False)
+    account: str | None = None
 
 
 @define(eq=False)
@@ -138,7 +144,9 @@
         reply = decode(self.key_ring.open(response.body), PageReply)
         if reply.nonce != query.nonce:
             raise ServiceError(Code.WRONG_ANSWER, 'reply to another query')
-        return ResultPage(reply.total, query.after, reply.results)
+        return ResultPage(
+            reply.total, query.after, reply.results, reply.account
+        )
 
 
 @define(eq=False)
@@ -171,5 +179,5 @@
             if query.is_forwarded:
                 raise ServiceError(Code.UNKNOWN_STEP, query.submission)
             page = await self.reader.ask(evolve(query, is_forwarded=True))
-        reply = PageReply(query.nonce, page.total, page.results)
+        reply = PageReply(query.nonce, page.total, page.results, page.account)
         return self.key_ring.seal(encode(reply))
--- a/packages/rollouts/sequoia_rollouts/submissions/result_pages.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/result_pages.py
@@ -13,11 +13,14 @@
     Attributes:
         total: Number of items of the submission.
         after: Position of the first result of the page.
+        account: Client account of the submission, empty for none; None if it is
+            not known.
     """
 
     total: int
     after: int
     results: tuple[ItemResult, ...] = field(repr=False)
+    account: str | None = None
 
 
 def limit_page(results: tuple[ItemResult, ...]) -> tuple[ItemResult, ...]:
--- a/packages/rollouts/sequoia_rollouts/submissions/result_reads.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/result_reads.py
@@ -1,5 +1,6 @@
 """Returns the results and item bodies of submissions."""
 
+import random
 from contextlib import suppress
 from datetime import timedelta
 
@@ -12,6 +13,7 @@
 from sequoia_wire.servers import HttpServer
 
 from sequoia_rollouts.targets.directories import Directory
+from sequoia_rollouts.fleet.peer_keys import KeyRing
 from sequoia_rollouts.submissions.peer_reads import PeerReader, PeerReadServer
 from sequoia_rollouts.submissions.result_pages import ResultPage, limit_page
 from sequoia_rollouts.submissions.submission_handlers import SubmissionHandler
@@ -40,6 +42,7 @@
         submission_id: str,
         after: int,
         timeout: timedelta,
+        account: str | None = None,
     ) -> ResultPage:
         """Return results from a position on; wait for at least one.
 
@@ -47,31 +50,51 @@
             submission_id: The submission.
             after: Position of the first result to return.
             timeout: How long to wait for a result.
+            account: Client account of the caller, empty for a caller without
+                one; None if callers need no keys.
 
         Raises:
             ServiceError: With code UNKNOWN_STEP only if the store confirms that
-                the submission does not exist.
+                the submission does not exist, or if it is not the account's.
         """
         deadline = self.clock.elapsed() + timeout
         if self._is_store_silent():
             with suppress(ServiceError):
-                return await self.peer_reader.read(
-                    submission_id, after, timeout
+                return await self._read_from_peers(
+                    submission_id, after, timeout, account
                 )
         try:
-            return await self._read(submission_id, after, deadline)
+            return await self._read(submission_id, after, deadline, account)
         except ServiceError as failure:
             if failure.code is not Code.STORE_UNAVAILABLE:
                 raise
-            return await self._read_from_peers(submission_id, after, failure)
+            failed = failure
+        try:
+            return await self._read_from_peers(
+                submission_id, after, PEER_WAIT, account
+            )
+        except ServiceError:
+            raise failed from None
 
-    async def read_body(self, submission_id: str, item_id: str) -> bytes:
+    async def read_body(
+        self, submission_id: str, item_id: str, account: str | None = None
+    ) -> bytes:
         """Return the body of an item.
 
+        Args:
+            submission_id: The submission.
+            item_id: The item.
+            account: Client account of the caller, empty for a caller without
+                one; None if callers need no keys.
+
         Raises:
             ServiceError: With code UNKNOWN_STEP only if the store confirms that
-                the submission does not exist, or if it has no such item.
+                the submission does not exist, if it is not the account's, or if
+                it has no such item.
         """
+        if account is not None:
+            owned = await self.handler.find(submission_id)
+            await self.handler.access.check(owned, account)
         runner = self.handler.runners.get(submission_id)
         if runner:
             submission = runner.submission
@@ -103,7 +126,10 @@
             return None
         await runner.recorder.wait(after, timeout)
         results = limit_page(tuple(runner.recorder.stored[after:]))
-        return ResultPage(len(runner.submission.items), after, results)
+        submission = runner.submission
+        return ResultPage(
+            len(submission.items), after, results, submission.account
+        )
 
     def make_peer_server(self, address: Address) -> HttpServer:
         """Return a server of results for other hosts that is not open yet."""
@@ -113,9 +139,14 @@
         return HttpServer(address, server.handle)
 
     async def _read(
-        self, submission_id: str, after: int, deadline: timedelta
+        self,
+        submission_id: str,
+        after: int,
+        deadline: timedelta,
+        account: str | None,
     ) -> ResultPage:
         owned = await self.handler.find(submission_id)
+        await self.handler.access.check(owned, account)
         total = owned.ownership.total
         results: tuple[ItemResult, ...] = ()
         while after < total and not results:
@@ -149,19 +180,42 @@
         )
 
     async def _read_from_peers(
-        self, submission_id: str, after: int, failure: ServiceError
+        self,
+        submission_id: str,
+        after: int,
+        wait: timedelta,
+        account: str | None,
     ) -> ResultPage:
         """Return results that another host has in memory.
 
         Raises:
-            ServiceError: The failure of the store if no host knows them.
+            ServiceError: If no host knows them, or if they are not known to be
+                the account's.
         """
-        try:
-            return await self.peer_reader.read(submission_id, after, PEER_WAIT)
-        except ServiceError:
-            raise failure from None
+        page = await self.peer_reader.read(submission_id, after, wait)
+        if account is None or page.account in {'', account}:
+            return page
+        raise ServiceError(Code.STORE_UNAVAILABLE, submission_id)
 
     def _is_store_silent(self) -> bool:
         """Return whether a call to the store would only cost the caller time."""
         age = self.directory.targets_age()
         return age is not None and age > STORE_SILENCE
+
+
+def build_result_reader(
+    clock: Clock,
+    handler: SubmissionHandler,
+    key_ring: KeyRing,
+    rng: random.Random,
+) -> ResultReader:
+    """Return a reader of the submissions that a handler knows.
+
+    Args:
+        clock: The clock of the host.
+        handler: Knows the submissions.
+        key_ring: Secrets of the messages to other hosts.
+        rng: Chooses hosts.
+    """
+    peer_reader = PeerReader(handler.ownership, key_ring, rng)
+    return ResultReader(clock, handler.directory, handler, peer_reader)
--- a/packages/rollouts/sequoia_rollouts/submissions/submission_handlers.py
+++ b/packages/rollouts/sequoia_rollouts/submissions/submission_handlers.py
@@ -9,8 +9,10 @@
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.submissions import Ownership, Submission
+from sequoia_policy.verdicts import Verdict
 from sequoia_wire.logs import Log, LogKind
 
+from sequoia_rollouts.submissions.access import SubmissionAccess
 from sequoia_rollouts.submissions.acceptances import (
     ACCEPT_TIMEOUT,
     AcceptanceWriter,
@@ -23,6 +25,7 @@
 from sequoia_rollouts.submissions.recorders import Recorder
 from sequoia_rollouts.submissions.runners import Acceptance, SubmissionRunner
 from sequoia_rollouts.storage.stores import (
+    RETRY_AFTER,
     Committer,
     ConflictError,
     Guard,
@@ -65,10 +68,12 @@
     runners: dict[str, SubmissionRunner] = field(factory=dict)
     starting: set[str] = field(factory=set)
     archive: Archive = field(init=False)
+    access: SubmissionAccess = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the archive on the same store."""
         self.archive = Archive(self.store)
+        self.access = SubmissionAccess(self.ownership, self.archive)
 
     @property
     def loops(self) -> tuple[Callable[[], Awaitable[None]], ...]:
@@ -83,9 +88,11 @@
                 NOT_RUN only if none of its items will run.
         """
         if submission.id in self.ownership.submissions:
+            await self._check_same_account(submission)
             return
         owned = await self._store_submission(submission)
         if owned is None:
+            await self._check_same_account(submission)
             return
         await self.ownership.record(owned)
         SUBMISSION_ACCEPTED.write(
@@ -95,14 +102,21 @@
             owner=owned.ownership.owner,
         )
 
-    async def end(self, submission_id: str) -> None:
+    async def end(self, submission_id: str, account: str | None = None) -> None:
         """End a submission; return once the store has recorded it.
 
+        Args:
+            submission_id: The submission.
+            account: Client account of the caller, empty for a caller without
+                one; None if callers need no keys.
+
         Raises:
-            ServiceError: If the store did not record it.
+            ServiceError: If the store did not record it, or with code
+                UNKNOWN_STEP if the submission is not the account's.
         """
         deadline = self.clock.elapsed() + END_TIMEOUT
         owned = await self.find(submission_id)
+        await self.access.check(owned, account)
         while not owned.ownership.ended:
             ended = evolve(owned.ownership, ended=True)
             owned = await self._write_end(owned, ended, deadline)
@@ -201,6 +215,27 @@
             return later
         return 0
 
+    async def _check_same_account(self, submission: Submission) -> None:
+        """Check that a stored submission is of the account that sends it.
+
+        Raises:
+            ServiceError: With code NOT_READY if another account uses its id; the
+                verdict is NOT_RUN only then.
+        """
+        if self.directory.configuration.accounts is None:
+            return
+        try:
+            owned = await self.find(submission.id)
+            await self.access.check(owned, submission.account)
+        except ServiceError as failure:
+            is_foreign = failure.code is Code.UNKNOWN_STEP
+            raise ServiceError(
+                Code.NOT_READY,
+                failure.detail,
+                verdict=Verdict.NOT_RUN if is_foreign else Verdict.MAY_HAVE_RUN,
+                retry_after=RETRY_AFTER,
+            ) from failure
+
     async def _store_submission(
         self, submission: Submission
     ) -> OwnedSubmission | None:
@@ -216,6 +251,7 @@
             min_version=submission.min_version,
             newest_version=self.directory.newest_version(submission.model),
             configuration_version=self.directory.configuration.version,
+            account=submission.account,
         )
         writer = AcceptanceWriter(
             self.clock,
--- a/packages/rollouts/sequoia_rollouts/targets/directories.py
+++ b/packages/rollouts/sequoia_rollouts/targets/directories.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from attrs import define, field, frozen
+from sequoia_policy.accounts import ConfigurationAge, find_shared_keys
 from sequoia_policy.clocks import Clock
 from sequoia_policy.registries import (
     RegisteredTarget,
@@ -12,7 +13,7 @@
     TargetRegistry,
 )
 from sequoia_policy.routing import Configuration
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.storage.followers import TableFollower
 from sequoia_rollouts.storage.notes import EngineNote
@@ -27,6 +28,13 @@
 
 log = Log('directory')
 ENGINE_NOTE = log.event('engine note', 'target', 'model', 'version', 'loading')
+KEY_SHARED = log.event(
+    'key listed twice',
+    'account',
+    'second_account',
+    'version',
+    kind=LogKind.FAILURE,
+)
 CONFIGURATION_IN_FORCE = log.event(
     'configuration in force', 'version', 'before', 'routes'
 )
@@ -129,6 +137,15 @@
         ]
         return min((age for age in ages if age is not None), default=None)
 
+    def configuration_age(self) -> ConfigurationAge:
+        """Return how current the configuration is."""
+        follower = self.operator_follower
+        failed_at = follower.failed_read_at
+        return ConfigurationAge(
+            follower.age(),
+            None if failed_at is None else self.clock.elapsed() - failed_at,
+        )
+
     def newest_version(self, model: str) -> int:
         """Return the newest named version of a model."""
         return max(INITIAL_VERSION, self.versions.get(model, 0))
@@ -183,6 +200,12 @@
             before=before,
             routes=len(content.routes),
         )
+        for shared in find_shared_keys(content.accounts or ()):
+            KEY_SHARED.write(
+                account=shared.first,
+                second_account=shared.second,
+                version=content.version,
+            )
 
     def _apply_version(self, named: NamedVersion) -> None:
         known = self.versions.get(named.model, 0)
