Let the model check search for keys that open a host after they were taken away

Hosts of the model decide calls with the product's decisions while keys are taken away, hosts freeze, are cut off or restart.

--- a/packages/rollouts/tests/ownership_model.py
+++ b/packages/rollouts/tests/ownership_model.py
@@ -12,6 +12,12 @@
 from attrs import define, evolve, field
 from fleet_simulation import BoundedStore, ManualClock
 from sequoia_policy import preconditions
+from sequoia_policy.accounts import (
+    Account,
+    ConfigurationAge,
+    check_age,
+    check_known,
+)
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.submissions import Ownership
 from sequoia_policy.verdicts import Verdict
@@ -44,6 +50,9 @@
 CALM = timedelta(seconds=3)  # without disruption before a bound holds
 RECOVERY = timedelta(seconds=15)  # until every open submission is run again
 ORDER_LEASE = timedelta(seconds=3)
+REVOCATION = timedelta(
+    seconds=5
+)  # until a key that was taken away opens nothing
 FEED_INTERVAL = timedelta(milliseconds=500)
 CALL_TIMEOUT = timedelta(milliseconds=900)
 CLOCK_AHEAD = timedelta(hours=2)  # of the store
@@ -143,6 +152,26 @@
     ended_at: timedelta | None = None
 
 
+@define
+class Key:
+    """A key of a caller, and the versions that list it.
+
+    Attributes:
+        since: First version that lists it.
+        until: First version that does not list it any more; None if all do.
+        taken_at: When that version came into force.
+    """
+
+    since: int
+    until: int | None = None
+    taken_at: timedelta = timedelta()
+
+    def is_listed(self, version):
+        if version < self.since:
+            return False
+        return self.until is None or version < self.until
+
+
 @define
 class NoLoads:
     """A planner that plans nothing: the model orders whenever a host may."""
@@ -168,6 +197,8 @@
         disturbed_at: When a disruption of it last ended.
         paused_until: Until when it does not run.
         blind_until: Until when the answers with configurations are lost.
+        confirmed_at: When it last read the configuration.
+        failed_read_at: When it last could not read it; None if it always could.
     """
 
     name: str
@@ -184,6 +215,8 @@
     disturbed_at: timedelta = timedelta()
     paused_until: timedelta = timedelta()
     blind_until: timedelta = timedelta()
+    confirmed_at: timedelta = timedelta()
+    failed_read_at: timedelta | None = None
     due: dict = field(factory=dict)
 
     def __attrs_post_init__(self):
@@ -230,6 +263,7 @@
         if self.clock.now < self.paused_until:
             return
         acts = [
+            lambda: model.call(self),
             self.read_leases,
             self.renew,
             self.follow,
@@ -245,6 +279,9 @@
         is_reached = not self.store.is_cut and not model.store.to_lose
         if is_reached and self.clock.now >= self.blind_until:
             self.configuration = model.configuration
+            self.confirmed_at = self.clock.now
+        else:
+            self.failed_read_at = self.clock.now
         for submission_id in tuple(self.running):
             model.run_item(self, submission_id)
         owned = self.table.duties.get(self.manager.duty.name)
@@ -252,6 +289,15 @@
             if self.manager.duty.may_act(owned):
                 model.order(self)
 
+    def find_age(self):
+        """Return how current its configuration is."""
+        now = self.clock.now
+        failed_at = self.failed_read_at
+        return ConfigurationAge(
+            now - self.confirmed_at,
+            None if failed_at is None else now - failed_at,
+        )
+
     def is_due(self, name, interval):
         if self.clock.now < self.due.get(name, timedelta()):
             return False
@@ -289,6 +335,7 @@
 
     Attributes:
         routes: Routes by version of the configuration.
+        keys: Keys of callers, oldest first.
         orders: When which process last ordered.
         counts: How often each act and disruption happened.
     """
@@ -301,6 +348,7 @@
     hosts: dict = field(factory=dict)
     work: dict = field(factory=dict)
     routes: dict = field(factory=lambda: {1: frozenset(('r0',))})
+    keys: list = field(factory=lambda: [Key(1), Key(1)])
     last_order: tuple | None = None
     counts: Counter = field(factory=Counter)
 
@@ -360,6 +408,45 @@
         self.check_time(ownership)
         await host.table.record(OwnedSubmission(work.id, ownership, version))
 
+    async def call(self, host):
+        """Let callers with each key call a host."""
+        if not host.configuration:
+            return
+        for key in self.keys:
+            is_listed = key.is_listed(host.configuration)
+            account = Account('a') if is_listed else None
+            age = host.find_age()
+            try:
+                check_known(account, age)
+                check_age(age, None)
+            except ServiceError as refusal:
+                if refusal.code is Code.UNKNOWN_CALLER:
+                    self.check_denied(key)
+            else:
+                self.check_accepted(host, key)
+
+    def take_key(self):
+        """Take the oldest key away that is left, and add one."""
+        version = self.configuration + 1
+        self.routes[version] = self.routes[self.configuration]
+        listed = [key for key in self.keys if key.until is None]
+        listed[0].until = version
+        listed[0].taken_at = self.clock.now
+        self.keys.append(Key(version))
+
+    def check_denied(self, key):
+        self.counts['keys denied'] += 1
+        if all(key.is_listed(version) for version in self.routes):
+            raise BrokenPromiseError('a key is denied that every version has')
+
+    def check_accepted(self, host, key):
+        self.counts['keys accepted'] += 1
+        if key.until is None or self.clock.now < key.taken_at + REVOCATION:
+            return
+        failed_at = host.failed_read_at
+        if failed_at is None or self.clock.now > failed_at + CALM:
+            raise BrokenPromiseError('a key opens after it was taken away')
+
     async def end(self, work):
         """End a submission at the store, as any host does."""
         key = submission_key(work.id)
--- a/packages/rollouts/tests/test_model.py
+++ b/packages/rollouts/tests/test_model.py
@@ -23,6 +23,7 @@
 )
 from ownership_model import BrokenPromiseError, OwnershipModel
 from sequoia_policy import preconditions
+from sequoia_policy.accounts import ConfigurationAge
 from sequoia_policy.store_clocks import StoreClock
 from sequoia_rollouts.storage import stores
 from sequoia_rollouts.fleet.ownership import OwnershipTable
@@ -114,6 +115,19 @@
         routes = sorted(model.routes[model.configuration])
         model.routes[model.configuration + 1] = frozenset(routes[:-1] or routes)
 
+    @rule()
+    def take_key(self):
+        self.model.take_key()
+
+    @rule(number=hosts, length=seconds)
+    def take_key_while_frozen(self, number, length):
+        """The host answers callers before it reads the store again."""
+        host = self.host(number)
+        host.paused_until = self.model.clock.now + timedelta(seconds=length)
+        self.model.take_key()
+        self.do(self.model.run(timedelta(seconds=length)))
+        self.model.disturb('frozen', [host])
+
     @rule(length=seconds)
     def cut_owner_from_store(self, length):
         """Hosts that do something are met first."""
@@ -222,6 +236,8 @@
     assert TOTALS['sent'] > 0
     assert TOTALS['orders'] > 0
     assert TOTALS['accepted'] > 0
+    assert TOTALS['keys accepted'] > 0
+    assert TOTALS['keys denied'] > 0
 
 
 def acquire_after_answer(holder):
@@ -245,6 +261,7 @@
     'older configuration': mock.patch.object(
         preconditions, 'may_judge_route', lambda *versions: True
     ),
+    'key after a pause': mock.patch.object(ConfigurationAge, 'is_usable', True),
     'unknown clock': mock.patch.object(StoreClock, 'now', read_unknown_as_own),
     'wait after the answer': mock.patch.object(
         DutyHolder, '_acquire', acquire_after_answer(DutyHolder)
