--- a/packages/bench/sequoia_bench/cli.py
+++ b/packages/bench/sequoia_bench/cli.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from sequoia_bench.accounts import measure_accounts
 from sequoia_bench.ages import compare_sources
 from sequoia_bench.caches import measure_caches
 from sequoia_bench.faults import run_faults
@@ -25,6 +26,7 @@
 
 BENCHMARKS = MappingProxyType(
     {
+        'accounts': measure_accounts,
         'ages': compare_sources,
         'caches': measure_caches,
         'choices': compare_choosers,
--- a/packages/policy/tests/test_imports.py
+++ b/packages/policy/tests/test_imports.py
@@ -38,7 +38,7 @@
 # Folders of sequoia_rollouts, each with those that it may import from.
 FOLDERS = PACKAGES / 'rollouts' / 'sequoia_rollouts'
 FOLDER_IMPORTS = {
-    'accounts': {'targets'},
+    'accounts': set(),
     'base': set(),
     'storage': set(),
     'fleet': {'base', 'storage'},
--- a/packages/rollouts/sequoia_rollouts/accounts/authenticators.py
+++ b/packages/rollouts/sequoia_rollouts/accounts/authenticators.py
@@ -1,6 +1,7 @@
 """Finds the client account of a request by its key."""
 
 from datetime import timedelta
+from typing import Protocol
 
 from attrs import define
 from sequoia_policy.accounts import (
@@ -12,12 +13,10 @@
     is_well_formed,
 )
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_policy.routing import Route
+from sequoia_policy.routing import Configuration, Route
 from sequoia_wire.durations import seconds_of
 from sequoia_wire.logs import Log, LogKind
 
-from sequoia_rollouts.targets.directories import Directory
-
 UNKNOWN_KEY = 'unknown_key'
 NOT_CONFIRMED = 'not_confirmed'
 
@@ -36,25 +35,37 @@
 KEYS_CONFIRMED = log.event('keys are confirmed again', 'config_version')
 
 
+class ConfigurationSource(Protocol):
+    """Provides the configuration in force."""
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+
+    def configuration_age(self) -> ConfigurationAge:
+        """Return how current the configuration is."""
+
+
 @define
 class Authenticator:
     """Finds client accounts in the configuration in force.
 
     Attributes:
+        source: Provides the configuration.
         max_age: Age of the configuration from which no key is accepted; None
             for any age.
         serves_unconfirmed: Whether the last key was accepted though the store
             had not confirmed the configuration lately.
     """
 
-    directory: Directory
+    source: ConfigurationSource
     max_age: timedelta | None = None
     serves_unconfirmed: bool = False
 
     @property
     def is_needed(self) -> bool:
         """Whether callers need keys."""
-        return self.directory.configuration.accounts is not None
+        return self.source.configuration.accounts is not None
 
     def authenticate(self, route: Route, key: str, request_id: str) -> Caller:
         """Return who sent a request.
@@ -91,7 +102,7 @@
         if not self.is_needed:
             return None
         account = self._find(key)
-        configuration = self.directory.configuration
+        configuration = self.source.configuration
         if account is None and configuration.has_public_submissions:
             return ''
         return self._check(account, request_id).name
@@ -99,10 +110,10 @@
     def _find(self, key: str) -> Account | None:
         if not is_well_formed(key):
             return None
-        return self.directory.configuration.find_account(key)
+        return self.source.configuration.find_account(key)
 
     def _check(self, account: Account | None, request_id: str) -> Account:
-        age = self.directory.configuration_age()
+        age = self.source.configuration_age()
         try:
             known = check_known(account, age)
             check_age(age, self.max_age)
@@ -111,7 +122,7 @@
             KEY_REFUSED.write(
                 request_id=request_id,
                 code=UNKNOWN_KEY if is_denied else NOT_CONFIRMED,
-                config_version=self.directory.configuration.version,
+                config_version=self.source.configuration.version,
                 config_age=seconds_of(age.confirmed),
             )
             raise
@@ -123,7 +134,7 @@
         if age.is_confirmed != self.serves_unconfirmed:
             return
         self.serves_unconfirmed = not age.is_confirmed
-        version = self.directory.configuration.version
+        version = self.source.configuration.version
         if self.serves_unconfirmed:
             KEYS_NOT_CONFIRMED.write(
                 config_version=version, config_age=seconds_of(age.confirmed)
