Report the usage of client accounts by windows

The platform bills live requests and streams by account and window, and no host counted them.

Each host counts a request once when a target's response shows that it ran, and writes its counts twice a window. The holder of the duty 'usage' sums the rows, stores the sum under the duty's row, and sends what is stored. Windows come from the median of the coordinators' wall clocks on the store's clock.

--- a/packages/policy/sequoia_policy/liveness.py
+++ b/packages/policy/sequoia_policy/liveness.py
@@ -32,6 +32,8 @@
         previous: The ``boot`` of the process of the same host from which this
             one took over the lease; empty if there was none.
         hosts: Number of hosts of the failure domain; 0 if not counted yet.
+        wall_ahead: Seconds by which the host's wall clock is ahead of the
+            store's clock; None where no part needs it.
     """
 
     host: str
@@ -42,6 +44,7 @@
     address: str = ''
     previous: str = ''
     hosts: int = 0
+    wall_ahead: float | None = None
 
     @property
     def owner(self) -> str:
--- a/packages/policy/tests/test_imports.py
+++ b/packages/policy/tests/test_imports.py
@@ -44,7 +44,8 @@
     'fleet': {'base', 'storage'},
     'targets': {'base', 'storage', 'fleet'},
     'streaming': {'targets'},
-    'live': {'base', 'storage', 'fleet', 'targets', 'streaming'},
+    'usage': {'base', 'storage', 'fleet'},
+    'live': {'base', 'storage', 'fleet', 'targets', 'streaming', 'usage'},
     'submissions': {'base', 'storage', 'fleet', 'targets', 'streaming'},
     'weights': {'base', 'storage', 'fleet', 'targets'},
     'process': {
@@ -55,6 +56,7 @@
         'targets',
         'live',
         'submissions',
+        'usage',
         'weights',
     },
 }
--- a/packages/rollouts/sequoia_rollouts/fleet/duty_holders.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/duty_holders.py
@@ -89,6 +89,13 @@
             return False
         return self.clock.elapsed() >= self.earliest_act_at
 
+    def may_act_now(self) -> bool:
+        """Return whether this host owns the duty and may act."""
+        owned = self.ownership.duties.get(self.name)
+        if owned is None or owned.owner != self.ownership.heartbeats.owner:
+            return False
+        return self.may_act(owned)
+
     async def release(self) -> None:
         """Release the duty for another host.
 
--- a/packages/rollouts/sequoia_rollouts/live/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_attempts.py
@@ -9,6 +9,7 @@
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.retries import AttemptFacts
 from sequoia_policy.routing import Route
+from sequoia_policy.usage_windows import estimate_start
 from sequoia_policy.verdicts import Verdict, merge_verdicts
 
 from sequoia_rollouts.targets.senders import OutgoingRequest
@@ -83,6 +84,8 @@
         release: Release of the engines that may go on with the response; empty
             for any.
         preferred_release: Release at which the response should begin.
+        began_at: When the target that responded began to work on the request;
+            None before a response shows that.
         tried: Names of the targets whose attempts failed; cleared when no
             target of the service is untried after a refusal.
     """
@@ -98,6 +101,7 @@
     verdict: Verdict = Verdict.NOT_RUN
     release: str = ''
     preferred_release: str = ''
+    began_at: timedelta | None = None
     tried: set[str] = field(factory=set)
 
     @property
@@ -140,6 +144,16 @@
         else:
             self.count += 1
 
+    def record_start(
+        self,
+        sent_at: timedelta,
+        responded_at: timedelta,
+        usual_seconds: float = 0,
+    ) -> None:
+        """Record that a target's response shows that the request ran."""
+        usual = timedelta(seconds=usual_seconds)
+        self.began_at = estimate_start(sent_at, responded_at, usual)
+
     def make_facts(self, now: timedelta) -> AttemptFacts:
         """Return the input of the retry decision at time ``now``."""
         return AttemptFacts(
--- a/packages/rollouts/sequoia_rollouts/live/live_paths.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_paths.py
@@ -45,6 +45,7 @@
     build_stream_releases,
 )
 from sequoia_rollouts.live.streams import LiveStream
+from sequoia_rollouts.usage.counters import UsageCounter, make_counter
 
 log = Log('live')
 REQUEST_ANSWERED = log.event(
@@ -67,6 +68,7 @@
 
     Attributes:
         is_cut_off: Returns whether other hosts can serve callers better.
+        usage: Counts the requests that targets run.
     """
 
     clock: Clock
@@ -85,10 +87,14 @@
     retries: LiveRetries = field(init=False)
     hedged_sender: HedgedSender = field(init=False)
     relay: StreamRelay = field(init=False)
+    usage: UsageCounter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the components that share these dependencies."""
         self.stop_guard = StopGuard(self.clock)
+        self.usage = make_counter(
+            self.clock, self.ownership.heartbeats.store_clock
+        )
         self.targets = LiveTargets(
             self.clock,
             self.directory,
@@ -131,6 +137,7 @@
             self.targets,
             self.retries,
             self.releases,
+            self.usage,
         )
 
     @property
@@ -189,7 +196,7 @@
         attempts = self._start_attempts(request)
         await self.quarantine.check(request)
         with self.stop_guard.record(attempts):
-            response = await self._respond(attempts)
+            response = await self._respond_counted(attempts)
         self._log_response(attempts, response)
         if response.status < MIN_UNSUCCESSFUL_STATUS:
             await self.quarantine.record_success(request)
@@ -231,6 +238,13 @@
             request.attempts_before,
         )
 
+    async def _respond_counted(self, attempts: LiveAttempts) -> Response:
+        """Return the response; count the request if a target has run it."""
+        try:
+            return await self._respond(attempts)
+        finally:
+            self.usage.record(attempts.request.account, attempts.began_at)
+
     async def _respond(self, attempts: LiveAttempts) -> Response:
         """Return the response of a target that this host or a peer reaches."""
         if not self.retries.may_hand_on(attempts):
@@ -241,7 +255,9 @@
                 if not self.retries.may_hand_on(attempts):
                     raise
         self.stop_guard.check_send(attempts)
-        return await self.handoffs.send(attempts)
+        response = await self.handoffs.send(attempts)
+        attempts.began_at = None  # the other host has counted the request
+        return response
 
     async def _try_until_answered(self, attempts: LiveAttempts) -> Response:
         response = None
@@ -282,8 +298,10 @@
             )
         finally:
             target.running -= 1
-        duration = self.clock.elapsed() - started_at
-        target.record_duration(duration.total_seconds(), self.clock.elapsed())
+        now = self.clock.elapsed()
+        usual = target.known_seconds(now)
+        attempts.record_start(started_at, now, usual or 0)
+        target.record_duration((now - started_at).total_seconds(), now)
         check_signature(labelled)
         return labelled
 
--- a/packages/rollouts/sequoia_rollouts/live/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_streams.py
@@ -40,6 +40,7 @@
 )
 from sequoia_rollouts.live.stream_releases import StreamReleases
 from sequoia_rollouts.live.streams import LiveStream, StreamSegment
+from sequoia_rollouts.usage.counters import UsageCounter
 
 OK = 200
 MIN_ERROR_STATUS = 500
@@ -83,6 +84,7 @@
     targets: LiveTargets
     retries: LiveRetries
     releases: StreamReleases
+    usage: UsageCounter
 
     async def run(self, stream: LiveStream) -> Response | None:
         """Relay a stream until it is complete.
@@ -147,7 +149,9 @@
             priority=min(attempts.priority, LOWEST_LIVE_PRIORITY),
         )
         outgoing = attempts.request.outgoing
+        sent_at = self.clock.elapsed()
         head = await self.sender.start(call, target, outgoing, labels)
+        self._count(attempts, sent_at)
         if head.status != OK:
             return await self._read_non_stream_response(
                 stream, target, call, head
@@ -163,6 +167,12 @@
         await self._relay_events(stream, segment)
         return None
 
+    def _count(self, attempts: LiveAttempts, sent_at: timedelta) -> None:
+        """Count a stream when the first target has begun it."""
+        if attempts.began_at is None:
+            attempts.record_start(sent_at, self.clock.elapsed())
+            self.usage.record(attempts.request.account, attempts.began_at)
+
     def _find_first_event_timeout(self, attempts: LiveAttempts) -> timedelta:
         """Return the timeout for the first event of an engine."""
         if not attempts.has_attempts_left:
--- a/packages/rollouts/sequoia_rollouts/storage/tables.py
+++ b/packages/rollouts/sequoia_rollouts/storage/tables.py
@@ -3,9 +3,10 @@
 import zlib
 
 from attrs import frozen
+from cattrs.gen import make_dict_unstructure_fn, override
 from sequoia_policy.liveness import Heartbeat
 from sequoia_policy.submissions import ItemResult, Ownership, Submission
-from sequoia_wire.codecs import decode, encode
+from sequoia_wire.codecs import converter, decode, encode
 
 from sequoia_rollouts.storage.stores import RowKey, RowRange, RowWrite
 
@@ -22,6 +23,15 @@
 DUTY_PREFIX = 'duty/'
 AFTER_SLASH = '0'  # follows '/' in byte order; ends a range of keys
 
+# Heartbeats are written and read all the time; most deployments have no use for
+# this field.
+converter.register_unstructure_hook(
+    Heartbeat,
+    make_dict_unstructure_fn(
+        Heartbeat, converter, wall_ahead=override(omit_if_default=True)
+    ),
+)
+
 
 @frozen
 class Duty:
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage of client accounts: counting, collecting and reporting."""
