Let the model check search for two reports of a window

Hosts of the model count, write and report with the product's decisions while the API fails or loses responses, wall clocks step, and holders die after they stored a report.

The clock that hosts agree on needs three readings with the own one: in one failure domain coordinators see two others.

--- a/packages/policy/sequoia_policy/true_clocks.py
+++ b/packages/policy/sequoia_policy/true_clocks.py
@@ -15,7 +15,7 @@
 
 EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 MAX_AHEAD = 1e11  # seconds; a larger reading is an error of its writer
-MIN_READINGS = 3  # of other hosts, so that a single one decides nothing
+MIN_READINGS = 3  # with the own one, so that a single one decides nothing
 # Larger changes come from steps: of the store's clock when it restarts, which
 # hosts learn of one after the other, or of most wall clocks.
 MAX_DRIFT = timedelta(milliseconds=250)
@@ -71,11 +71,11 @@
         own, offset = self.read_own(), self.store_clock.offset
         if own is None or offset is None:
             return
-        others = [ahead for ahead in readings if abs(ahead) < MAX_AHEAD]
-        if len(others) < MIN_READINGS:
+        usable = [ahead for ahead in readings if abs(ahead) < MAX_AHEAD]
+        usable.append(own.total_seconds())
+        if len(usable) < MIN_READINGS:
             return
-        median = statistics.median((*others, own.total_seconds()))
-        found = timedelta(seconds=median) + offset
+        found = timedelta(seconds=statistics.median(usable)) + offset
         if self.ahead is None or not self.is_shared:
             self.is_shared = True
             self.ahead = found
--- a/packages/rollouts/sequoia_rollouts/usage/reporters.py
+++ b/packages/rollouts/sequoia_rollouts/usage/reporters.py
@@ -169,11 +169,13 @@
 
     async def _find_first(self) -> int:
         """Return the first window of which this host or another has counts."""
-        oldest = self.timing.find_oldest(self.true_clock.now())
-        for window in range(oldest, self.first_window):
+        now = self.true_clock.now()
+        # The clock may have been corrected since.
+        first = min(self.first_window, self.timing.find_window(now))
+        for window in range(self.timing.find_oldest(now), first):
             if await self._read_counts(window):
                 return window
-        return self.first_window
+        return first
 
     async def _store(
         self, plan: ReportPlan, window: int, owned: OwnedDuty
--- a/packages/rollouts/sequoia_rollouts/usage/writers.py
+++ b/packages/rollouts/sequoia_rollouts/usage/writers.py
@@ -52,6 +52,7 @@
 
     async def step(self) -> None:
         """Wait until counts are to be written, and write them."""
+        self.compare_clocks()
         now = self.counter.true_clock.now()
         next_write = self.timing.find_next_write(now, self.rng.random())
         await curio.sleep((next_write - now).total_seconds())
--- a/packages/rollouts/tests/ownership_model.py
+++ b/packages/rollouts/tests/ownership_model.py
@@ -1,13 +1,13 @@
 """A model of hosts that own submissions, driven by the shipped decisions.
 
 Leases, heartbeats, the ownership table, adoption, the duty to order and the
-preconditions are the product's. The store, the clocks, the runners and the
-network are modelled. After each tick the promises to callers are checked.
+preconditions are the product's, and so are counting and reporting of usage. The
+store, the clocks, the runners, the API and the network are modelled. After each tick the promises to callers are checked.
 """
 
 import random
 from collections import Counter
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 from attrs import define, evolve, field
 from fleet_simulation import BoundedStore, ManualClock
@@ -20,6 +20,7 @@
 )
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.submissions import Ownership
+from sequoia_policy.usage_windows import UsageTiming
 from sequoia_policy.verdicts import Verdict
 from sequoia_rollouts.process import sweepers
 from sequoia_rollouts.weights import weight_managers
@@ -39,6 +40,10 @@
     RowPage,
     Transaction,
 )
+from sequoia_rollouts.usage.counters import make_counter
+from sequoia_rollouts.usage.reporters import UsageReporter
+from sequoia_rollouts.usage.usage_rows import DUTY
+from sequoia_rollouts.usage.writers import UsageWriter
 from sequoia_rollouts.storage.tables import (
     read_ownership,
     submission_key,
@@ -59,6 +64,12 @@
 CLOCK_ERROR = timedelta(seconds=2)  # of a time of acceptance
 COMMIT_TIMEOUT = timedelta(seconds=1)
 DOMAIN = 'z'
+USAGE = UsageTiming(timedelta(seconds=1), timedelta(seconds=5))
+USAGE_WRITES = timedelta(milliseconds=500)
+USAGE_SHARE = 0.3  # of the ticks in which a host counts a request
+CALL_INTERVAL = timedelta(milliseconds=100)
+CLOCK_MARGIN = timedelta(milliseconds=100)  # of a time that hosts agree on
+EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
 class BrokenPromiseError(AssertionError):
@@ -137,6 +148,65 @@
         return getattr(self.store, name)
 
 
+@define(eq=False)
+class HostClock:
+    """The clocks of one host.
+
+    Attributes:
+        error: What its wall clock shows too much.
+    """
+
+    clock: ManualClock
+    error: timedelta = timedelta()
+
+    def elapsed(self):
+        return self.clock.now
+
+    def now(self):
+        return EPOCH + self.clock.now + self.error
+
+
+@define(eq=False)
+class ModelApi:
+    """The platform's API, which does not check fencing tokens.
+
+    Attributes:
+        reports: Counts of each window, as first reported.
+        is_down: Whether it carries out no call.
+        to_lose: Number of further calls whose response is lost.
+        last_call: Holder, fencing token and time of the last call.
+    """
+
+    clock: ManualClock
+    counts: Counter
+    reports: dict = field(factory=dict)
+    is_down: bool = False
+    to_lose: int = 0
+    last_call: tuple | None = None
+
+    async def report_usage(self, report, permit):
+        self.counts['calls of the API'] += 1
+        if self.is_down:
+            raise ServiceError(Code.OVERLOADED, 'down', verdict=Verdict.NOT_RUN)
+        self.check(report, permit)
+        if self.to_lose:
+            self.to_lose -= 1
+            raise ServiceError(Code.TARGET_BROKE, 'response lost')
+        self.counts['reports'] += 1
+
+    def check(self, report, permit):
+        known = self.reports.setdefault(report.window, dict(report.counts))
+        if known != report.counts:
+            raise BrokenPromiseError('two reports for a window')
+        if self.last_call:
+            holder, fence, at = self.last_call
+            if permit.fence < fence:
+                raise BrokenPromiseError('a lower token after a higher one')
+            if holder != permit.holder and self.clock.now - at < ORDER_LEASE:
+                raise BrokenPromiseError('two hosts report within the lease')
+        self.last_call = (permit.holder, permit.fence, self.clock.now)
+
+
 @define
 class Work:
     """A submission as its caller knows it.
@@ -205,11 +275,15 @@
     store: HostStore
     clock: ManualClock
     rng: random.Random
+    api: ModelApi
     heartbeats: HeartbeatService = field(init=False)
     keeper: LeaseKeeper = field(init=False)
     table: OwnershipTable = field(init=False)
     adopter: Adopter = field(init=False)
     manager: weight_managers.WeightManager = field(init=False)
+    own_clock: HostClock = field(init=False)
+    writer: UsageWriter = field(init=False)
+    reporter: UsageReporter = field(init=False)
     running: dict = field(factory=dict)
     configuration: int = 0
     disturbed_at: timedelta = timedelta()
@@ -249,6 +323,30 @@
             None,
             NoLoads(ModelService()),
         )
+        self.make_usage()
+
+    def make_usage(self):
+        self.own_clock = HostClock(self.clock)
+        counter = make_counter(self.own_clock, self.heartbeats.store_clock)
+        counter.timing = USAGE
+        self.writer = UsageWriter(
+            self.own_clock,
+            self.store,
+            self.heartbeats,
+            counter,
+            USAGE,
+            self.rng,
+        )
+        committer = Committer(self.store, self.clock)
+        self.reporter = UsageReporter(
+            self.own_clock,
+            counter.true_clock,
+            USAGE,
+            DutyHolder(self.clock, self.table, committer, DUTY, ORDER_LEASE),
+            committer,
+            self.api,
+            CALL_INTERVAL,
+        )
 
     async def apply_change(self, owned):
         """Start or stop a runner, as the product's handler does."""
@@ -269,6 +367,8 @@
             self.follow,
             self.adopt,
             self.manage,
+            self.write_usage,
+            self.report_usage,
         ]
         self.rng.shuffle(acts)
         for act in acts:
@@ -282,6 +382,9 @@
             self.confirmed_at = self.clock.now
         else:
             self.failed_read_at = self.clock.now
+        if self.rng.random() < USAGE_SHARE:
+            self.writer.counter.record('a', self.clock.now)
+            model.check_window(self)
         for submission_id in tuple(self.running):
             model.run_item(self, submission_id)
         owned = self.table.duties.get(self.manager.duty.name)
@@ -328,6 +431,15 @@
         if not self.store.is_cut:
             await self.manager.step()
 
+    async def write_usage(self):
+        if self.is_due('usage', USAGE_WRITES):
+            self.writer.compare_clocks()
+            await self.writer.flush()
+
+    async def report_usage(self):
+        if not self.store.is_cut:
+            await self.reporter.step()
+
 
 @define(eq=False)
 class OwnershipModel:
@@ -351,10 +463,12 @@
     keys: list = field(factory=lambda: [Key(1), Key(1)])
     last_order: tuple | None = None
     counts: Counter = field(factory=Counter)
+    api: ModelApi = field(init=False)
 
     def __attrs_post_init__(self):
         self.rng = random.Random(self.seed)
         self.store = ModelStore(self.clock, self.rng)
+        self.api = ModelApi(self.clock, self.counts)
         for number in range(self.size):
             self.start(f'h{number}')
 
@@ -363,7 +477,9 @@
         return max(self.routes)
 
     def start(self, name):
-        host = ModelHost(name, HostStore(self.store), self.clock, self.rng)
+        host = ModelHost(
+            name, HostStore(self.store), self.clock, self.rng, self.api
+        )
         host.disturbed_at = self.clock.now
         self.hosts[name] = host
 
@@ -494,6 +610,16 @@
                 raise BrokenPromiseError('two hosts order within the lease')
         self.last_order = (host.name, self.clock.now)
 
+    def check_window(self, host):
+        """Check that a step of its wall clock does not move its counts."""
+        true_clock = host.writer.counter.true_clock
+        if not true_clock.is_shared:
+            return
+        self.counts['windows checked'] += 1
+        error = true_clock.convert(self.clock.now) - self.clock.now
+        if abs(error) > CLOCK_MARGIN:
+            raise BrokenPromiseError('a request is counted in another window')
+
     def check_time(self, ownership):
         true_now = self.clock.now + CLOCK_AHEAD
         if abs(ownership.accepted - true_now) > CLOCK_ERROR:
@@ -523,6 +649,8 @@
     async def settle(self):
         """Heal everything; check that each open submission is run once."""
         self.store.to_lose = 0
+        self.api.is_down = False
+        self.api.to_lose = 0
         for host in self.hosts.values():
             host.store.is_cut = False
             host.paused_until = timedelta()
--- a/packages/rollouts/tests/test_model.py
+++ b/packages/rollouts/tests/test_model.py
@@ -25,9 +25,13 @@
 from sequoia_policy import preconditions
 from sequoia_policy.accounts import ConfigurationAge
 from sequoia_policy.store_clocks import StoreClock
+from sequoia_policy.true_clocks import TrueClock
+from sequoia_policy.usage_counts import sum_counts
 from sequoia_rollouts.storage import stores
 from sequoia_rollouts.fleet.ownership import OwnershipTable
 from sequoia_rollouts.fleet.duty_holders import DutyHolder
+from sequoia_rollouts.usage.reporters import UsageReporter
+from sequoia_rollouts.usage.usage_rows import decode_counts
 
 EXAMPLES = int(os.environ.get('EXAMPLES', '12'))
 IS_LONG = 'EXAMPLES' in os.environ  # a search by hand draws other examples
@@ -177,6 +181,26 @@
             if owned and owned.owner == host.heartbeats.owner:
                 self.do(self.hand_over(host, is_lost=is_lost))
 
+    @rule(length=seconds, is_lost=st.booleans())
+    def kill_reporter_after_row(self, length, is_lost):
+        """The API fails or carries calls out without a response meanwhile."""
+        model = self.model
+        model.api.is_down = not is_lost
+        model.api.to_lose = 100 if is_lost else 0
+        self.do(model.run(timedelta(seconds=length)))
+        for host in tuple(model.hosts.values()):
+            if host.reporter.duty.may_act_now():
+                self.kill(list(model.hosts).index(host.name))
+        model.api.is_down = False
+        model.api.to_lose = 0
+
+    @rule(step=st.sampled_from((-3600, -2, 2, 3600)))
+    def step_wall_clock(self, step):
+        """It is always the same host, as a majority has to be right."""
+        host = self.host(0)
+        host.own_clock.error = timedelta(seconds=step)
+        self.model.disturb('wall clock stepped', [])
+
     async def hand_over(self, host, *, is_lost):
         own = host.heartbeats.own
         own.heartbeat = evolve(own.heartbeat, draining=True)
@@ -238,6 +262,8 @@
     assert TOTALS['accepted'] > 0
     assert TOTALS['keys accepted'] > 0
     assert TOTALS['keys denied'] > 0
+    assert TOTALS['reports'] > 0
+    assert TOTALS['windows checked'] > 0
 
 
 def acquire_after_answer(holder):
@@ -257,7 +283,24 @@
     return store_clock.clock.elapsed() + (store_clock.offset or timedelta())
 
 
+def read_own_wall(true_clock, time):
+    """Take the wall clock of the host for true time."""
+    return true_clock._read_wall() + time
+
+
+async def send_without_row(reporter, plan, window, owned):
+    """Send the sum of the rows without storing it before."""
+    rows = await reporter._read_counts(window)
+    plan.record_stored(window, sum_counts(decode_counts(rows)))
+
+
 FAULTS = {
+    'report without a row': mock.patch.object(
+        UsageReporter, '_store', send_without_row
+    ),
+    'window by the own wall clock': mock.patch.object(
+        TrueClock, 'convert', read_own_wall
+    ),
     'older configuration': mock.patch.object(
         preconditions, 'may_judge_route', lambda *versions: True
     ),
