Test that reports survive holders that are killed or paused

Real processes report to a stand-in of the API. The holder is killed after it stored a report and before the API carried the call out; counts are written meanwhile, so that a second sum would differ.

--- a/packages/rollouts/tests/api_standin.py
+++ b/packages/rollouts/tests/api_standin.py
@@ -15,7 +15,6 @@
     Attributes:
         at: When it came, by the clock of the test.
         wall: When it came, in seconds since 1970.
-        peer: Address of the host that sent it.
     """
 
     path: str
@@ -25,7 +24,6 @@
     status: int
     at: float = field(factory=time.monotonic)
     wall: float = field(factory=time.time)
-    peer: str = ''
 
 
 @define(eq=False)
@@ -36,9 +34,10 @@
         requires_fence: Whether a lower fencing token than before is refused.
         down: Status of every response while the API is down; 0 if it is up.
         to_refuse: Number of further calls to refuse with status 429.
+        is_holding: Whether calls are neither carried out nor answered.
+        held: The calls that were held.
         to_lose: Number of further calls that are carried out without a
             response.
-        on_call: Called before each response; may raise.
     """
 
     address: Address = field(factory=lambda: Address('127.0.0.1', 0))
@@ -46,9 +45,10 @@
     down: int = 0
     to_refuse: int = 0
     to_lose: int = 0
+    is_holding: bool = False
+    held: list = field(factory=list)
     calls: list = field(factory=list)
     highest: dict = field(factory=dict)
-    on_call: object = None
     server: HttpServer = field(init=False)
 
     def __attrs_post_init__(self):
@@ -83,17 +83,16 @@
         body = await exchange.read_body()
         head = exchange.head
         fence = int(head.header('fence-token'))
+        holder = head.header('duty-holder')
+        fields = orjson.loads(body)
+        if self.is_holding:
+            self.held.append(ReceivedCall(head.path, holder, fence, fields, 0))
+            await exchange.sock.recv(1)  # returns when the sender gives up
+            raise ConnectionAbortedError('held')
         status = self.find_status(head.path, fence)
-        call = ReceivedCall(
-            head.path,
-            head.header('duty-holder'),
-            fence,
-            orjson.loads(body),
-            status,
+        self.calls.append(
+            ReceivedCall(head.path, holder, fence, fields, status)
         )
-        self.calls.append(call)
-        if self.on_call:
-            await self.on_call(call)
         if self.to_lose and status == 200:
             self.to_lose -= 1
             raise ConnectionAbortedError('response lost')
--- a/packages/rollouts/tests/test_side_by_side.py
+++ b/packages/rollouts/tests/test_side_by_side.py
@@ -60,7 +60,11 @@
 )
 # The module of the earlier build, a message, and its fields that this build added.
 MESSAGES = [
-    ('sequoia_policy.liveness', Heartbeat('h1', 'b1', 7, hosts=3), {}),
+    (
+        'sequoia_policy.liveness',
+        Heartbeat('h1', 'b1', 7, hosts=3, wall_ahead=1.5),
+        {'wall_ahead': None},
+    ),
     (
         'sequoia_policy.registries',
         Registration('e1', 's', '1.2.3.4:5', 'z'),
