Remove counts when they were summed; leave the duty to hosts that reach the API

The holder read all counts again to remove them when they had expired, which doubled what it reads. It now removes the rows that it summed, and reads only what came later. A host that finds its row removed drops the window.

A holder whose calls were not accepted for usageLateS without a refusal releases the duty for as long: it may be the only one that does not reach the API.

--- a/packages/rollouts/sequoia_rollouts/process/duties.py
+++ b/packages/rollouts/sequoia_rollouts/process/duties.py
@@ -109,7 +109,7 @@
     async def finish(self) -> None:
         """Store what is left when the last request has been answered."""
         if self.usage:
-            await self.usage.writer.flush()
+            await self.usage.writer.finish()
 
 
 def build_duties(host: DutySource) -> Duties:
--- a/packages/rollouts/sequoia_rollouts/usage/reporters.py
+++ b/packages/rollouts/sequoia_rollouts/usage/reporters.py
@@ -1,5 +1,6 @@
 """Sums the counts of all hosts and reports them while it owns the duty."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from attrs import define, field
@@ -30,7 +31,6 @@
     ConflictError,
     Guard,
     Row,
-    RowRange,
     RowWrite,
     Transaction,
     read_all,
@@ -48,6 +48,7 @@
 
 POLL_INTERVAL = timedelta(milliseconds=200)
 RETRY_BACKOFF = timedelta(milliseconds=400)
+CONFLICT_BACKOFF = timedelta(seconds=2)  # after the duty was overtaken
 COMMIT_TIMEOUT = timedelta(milliseconds=1500)
 KEPT_REPORTS = 16  # rows; the next holder reads them all
 
@@ -79,8 +80,8 @@
     'stored',
     kind=LogKind.FAILURE,
 )
-OLD_COUNTS_NOT_REMOVED = log.event(
-    'old counts not removed', 'partition', 'detail', kind=LogKind.FAILURE
+COUNTS_NOT_REMOVED = log.event(
+    'counts not removed', 'window', 'detail', kind=LogKind.FAILURE
 )
 
 
@@ -91,7 +92,10 @@
     Attributes:
         interval: Minimum time between two calls of the API.
         first_window: The window in which this process began to count.
-        swept: The newest window after whose sum expired counts were removed.
+        swept: The newest window after whose sum counts were removed.
+        summed: The counts of the window that was summed last.
+        silent_since: Since when the API has not responded to this host.
+        rests_until: Until when this host leaves the duty to others.
         plan: The reports under the current ownership; None before it was read.
         fence: Version of the duty's row under which ``plan`` was read.
         retry_at: When the store is asked again after it failed.
@@ -108,6 +112,9 @@
     plan: ReportPlan | None = None
     fence: int = ABSENT
     swept: int = 0
+    summed: tuple[Row, ...] = ()
+    silent_since: timedelta | None = None
+    rests_until: timedelta = timedelta()
     retry_at: timedelta = timedelta()
 
     def __attrs_post_init__(self) -> None:
@@ -121,6 +128,8 @@
 
     async def step(self) -> None:
         """Acquire the duty if it is unowned; sum and send what is due."""
+        if self.clock.elapsed() < self.rests_until:
+            return
         owned = await self.duty.step()
         if owned is None or self.clock.elapsed() < self.retry_at:
             return
@@ -132,7 +141,7 @@
             self.retry_at = self.clock.elapsed() + RETRY_BACKOFF
             return
         await self._send_next(plan, owned)
-        await self._remove_old_counts(plan.next_window - 1)
+        await self._remove_counts(plan.next_window - 1)
 
     async def _prepare(self, owned: OwnedDuty) -> ReportPlan:
         """Return the plan, with the reports stored that are due.
@@ -158,6 +167,7 @@
     async def _resume(self, owned: OwnedDuty) -> ReportPlan:
         page = await read_all(self.committer.store, reports_range())
         stored = decode_reports(page.rows)
+        self.silent_since = None
         first = self.first_window if stored else await self._find_first()
         plan = resume_reports(self.timing, self.interval, stored, first)
         REPORTS_RESUMED.write(
@@ -193,6 +203,7 @@
         )
         guards = (Guard(key, ABSENT), Guard(duty_key(DUTY), owned.version))
         await self.committer.commit(Transaction(writes, guards), COMMIT_TIMEOUT)
+        self.summed = tuple(rows)
         plan.record_stored(window, report.counts)
         REPORT_STORED.write(
             window=window,
@@ -229,6 +240,7 @@
             await self._apply_failure(plan, window, owned, failure)
             return
         now = self.true_clock.now()
+        self.silent_since = None
         plan.record_accepted(window)
         REPORT_ACCEPTED.write(
             window=window,
@@ -243,23 +255,39 @@
         owned: OwnedDuty,
         failure: ServiceError,
     ) -> None:
-        """Send the report again later; give up a duty that was overtaken."""
+        """Send the report again later, or leave that to another host.
+
+        The duty is released if the API has seen a higher token, or has not
+        responded for so long that only this host may not reach it.
+        """
         REPORT_FAILED.write(
             window=window, fence=owned.version, detail=failure.detail
         )
         plan.record_failure(self.true_clock.now())
-        if failure.code is not Code.STORE_CONFLICT:
-            return
+        now = self.clock.elapsed()
+        if failure.code is Code.STORE_CONFLICT:
+            self.retry_at = now + CONFLICT_BACKOFF
+            await self._release()
+        elif failure.code is Code.OVERLOADED:
+            self.silent_since = None
+        elif self.silent_since is None:
+            self.silent_since = now
+        elif now - self.silent_since >= self.timing.limit:
+            self.silent_since = None
+            self.rests_until = now + self.timing.limit
+            await self._release()
+
+    async def _release(self) -> None:
         try:
             await self.duty.release()
         except ServiceError as error:
             REPORT_NOT_STORED.write(detail=error.detail)
 
-    async def _remove_old_counts(self, window: int) -> None:
-        """Remove the expired counts from one of the partitions.
+    async def _remove_counts(self, window: int) -> None:
+        """Remove the counts that were summed, and expired ones of a partition.
 
-        All have their turn within as many windows; a failure is left to the
-        next turn.
+        Hosts may write counts after the sum. Each partition has its turn within
+        as many windows; a failure is left to the next turn.
 
         Args:
             window: The window that was summed last; it chooses the partition.
@@ -267,16 +295,29 @@
         if window <= self.swept or not self.duty.may_act_now():
             return
         self.swept = window
-        part = PARTITIONS[window % len(PARTITIONS)]
         oldest = self.timing.find_oldest(self.true_clock.now())
-        expired = old_counts_range(oldest - 1, part)
+        part = PARTITIONS[window % len(PARTITIONS)]
         try:
-            await self._remove(expired)
+            page = await read_all(
+                self.committer.store, old_counts_range(oldest - 1, part)
+            )
         except ServiceError as failure:
-            OLD_COUNTS_NOT_REMOVED.write(partition=part, detail=failure.detail)
+            COUNTS_NOT_REMOVED.write(window=window, detail=failure.detail)
+            return
+        await self._remove(window, (*self.summed, *page.rows))
 
-    async def _remove(self, row_range: RowRange) -> None:
-        store = self.committer.store
-        page = await read_all(store, row_range)
-        for batch in split_writes([RowWrite(row.key) for row in page.rows]):
-            await store.commit(Transaction(batch))
+    async def _remove(self, window: int, rows: Iterable[Row]) -> None:
+        by_partition: dict[str, list[RowWrite]] = {}
+        for row in rows:
+            writes = by_partition.setdefault(row.key.part, [])
+            writes.append(RowWrite(row.key))
+        batches = [
+            batch
+            for writes in by_partition.values()
+            for batch in split_writes(writes)
+        ]
+        try:
+            for batch in batches:
+                await self.committer.store.commit(Transaction(batch))
+        except ServiceError as failure:
+            COUNTS_NOT_REMOVED.write(window=window, detail=failure.detail)
--- a/packages/rollouts/sequoia_rollouts/usage/writers.py
+++ b/packages/rollouts/sequoia_rollouts/usage/writers.py
@@ -16,6 +16,7 @@
     ABSENT,
     ConflictError,
     Guard,
+    Row,
     RowWrite,
     Store,
     Transaction,
@@ -76,6 +77,11 @@
         ]
         true_clock.update(ahead for ahead in others if ahead is not None)
 
+    async def finish(self) -> None:
+        """Write what is left at the stop of the host."""
+        if not await self.flush():
+            await self.flush()  # another write of the same row was under way
+
     async def flush(self) -> bool:
         """Write the counts that are not stored; return whether all are."""
         self._forget_expired()
@@ -100,11 +106,26 @@
         for window in sorted(counts.windows):
             if not self.timing.has_expired(window, now):
                 break
-            lost = counts.count(window) - counts.stored.get(window, 0)
-            if lost:
-                COUNTS_LOST.write(window=window, requests=lost)
+            self._log_lost(window)
             self._forget(window)
 
+    def _apply_conflict(self, window: int, row: Row | None) -> None:
+        """Apply the row as it is: an earlier write was carried out.
+
+        The row is missing once the window has been summed.
+        """
+        if row:
+            self.versions[window] = row.version
+            return
+        self._log_lost(window)
+        self._forget(window)
+
+    def _log_lost(self, window: int) -> None:
+        counts = self.counter.counts
+        lost = counts.count(window) - counts.stored.get(window, 0)
+        if lost:
+            COUNTS_LOST.write(window=window, requests=lost)
+
     def _forget(self, window: int) -> None:
         self.counter.counts.forget(window)
         self.versions.pop(window, None)
@@ -121,8 +142,7 @@
         try:
             version = await self.store.commit(Transaction((write,), (guard,)))
         except ConflictError as conflict:
-            row = conflict.find(key)
-            self.versions[window] = row.version if row else ABSENT
+            self._apply_conflict(window, conflict.find(key))
             return
         self.versions[window] = version
         self.counter.counts.record_stored(window, counts)
