--- a/packages/rollouts/tests/host_processes.py
+++ b/packages/rollouts/tests/host_processes.py
@@ -26,6 +26,7 @@
 
     Attributes:
         program: What each process runs.
+        options: Further settings, which replace the usual ones.
         stops: When SIGTERM was first sent to each of its processes, by time.
     """
 
@@ -35,6 +36,7 @@
     store: Address
     domain: str = 'z1'
     program: Path = ROOT / 'platform' / 'start.py'
+    options: dict = field(factory=dict)
     process: subprocess.Popen | None = None
     stops: list = field(factory=list)
 
@@ -58,6 +60,7 @@
             'platform.writesPerS': '800',
             'platform.readsPerS': '2000',
             'platform.partWritesS': '150',
+            **self.options,
         }
         lines = [f'{key}={text}\n' for key, text in fields.items()]
         settings.write_text(''.join(lines))
