Prefer other targets while one has just started or recovered

A host knew no duration of a target before its first response, and all hosts sent requests to it at once. Each host now begins with one request in flight at a process that is new or could not be reached, and allows one more for each timely response. A hash of host and target spreads the first requests of many hosts. The limit only orders live targets: without another candidate, or after a refusal, it is ignored.

--- a/packages/policy/sequoia_policy/registries.py
+++ b/packages/policy/sequoia_policy/registries.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from datetime import timedelta
 
-from attrs import define, field, frozen
+from attrs import Factory, define, field, frozen
 
 from sequoia_policy.announcements import (
     Announcements,
@@ -12,6 +12,11 @@
 )
 from sequoia_policy.choices import rank_names
 from sequoia_policy.permits import Urgency
+from sequoia_policy.target_paces import (
+    PaceContext,
+    TargetPace,
+    UsualDuration,
+)
 from sequoia_policy.target_paths import TargetPath
 
 MIN_BACKOFF = timedelta(milliseconds=250)
@@ -82,6 +87,7 @@
             model.
         no_permit_until: Time until which the target's limit leaves no permit.
         announced: What this process announced in its responses.
+        pace: How many requests this host prefers to have in flight there.
     """
 
     registration: Registration
@@ -96,6 +102,12 @@
     loading_until: dict[str, timedelta] = field(factory=dict)
     no_permit_until: dict[Urgency, timedelta] = field(factory=dict)
     announced: Announcements = field(factory=Announcements)
+    pace: TargetPace = field(
+        default=Factory(
+            lambda target: TargetPace(target.name, target.slots),
+            takes_self=True,
+        )
+    )
 
     @property
     def name(self) -> str:
@@ -163,6 +175,7 @@
         else:
             self.seconds_per_unit = known + SMOOTHING * (seconds - known)
         self.measured_at = now
+        self.pace.record_duration(seconds, now)
 
     def known_seconds(self, now: timedelta) -> float | None:
         """Return the average duration, None if it is outdated."""
@@ -182,6 +195,7 @@
         self.record_failure(now)
         self.unreachable = True
         self.back_off(now, UNREACHABLE_BACKOFF)
+        self.pace.start(self.backoff_until)
 
     def back_off(self, now: timedelta, duration: timedelta) -> None:
         """Send no new work for at least ``duration``."""
@@ -206,6 +220,8 @@
         expiring: Names of the targets within their grace period.
         announcements: What all processes announced in their responses.
         path: Whether this host reaches any target.
+        paces: What the paces of all targets share.
+        usual_durations: Durations at all targets of a service, by service.
     """
 
     targets: dict[str, RegisteredTarget] = field(factory=dict)
@@ -216,15 +232,30 @@
     expiring: set[str] = field(factory=set)
     announcements: AnnouncementTable = field(factory=AnnouncementTable)
     path: TargetPath = field(factory=TargetPath)
+    paces: PaceContext = field(factory=PaceContext)
+    usual_durations: dict[str, UsualDuration] = field(factory=dict)
+
+    def register(
+        self, registration: Registration, started_at: timedelta | None = None
+    ) -> bool:
+        """Apply a registration.
 
-    def register(self, registration: Registration) -> bool:
-        """Apply a registration; return whether it changed anything."""
+        Args:
+            registration: The registration.
+            started_at: Time of the start if the process is not known yet; None
+                if it may have run for long.
+
+        Returns:
+            Whether it changed anything.
+        """
         known = self.targets.get(registration.name)
         if known is None or not is_same_process(
             known.registration, registration
         ):
             self._discard(registration.name)
-            self._add(RegisteredTarget(registration))
+            added = self._add(registration)
+            if started_at is not None:
+                added.pace.start(started_at)
             return True
         is_changed = (
             known.expires_at is not None or known.registration != registration
@@ -256,9 +287,11 @@
     ) -> None:
         """Apply a full listing; remove missing targets after ``grace``."""
         present = set()
+        # The targets of the first listing may have run for long.
+        started_at = now if self.targets else None
         for registration in registrations:
             present.add(registration.name)
-            self.register(registration)
+            self.register(registration, started_at)
         missing = sorted(self.targets.keys() - present)
         for name in missing:
             self.remove(name, now, grace)
@@ -300,13 +333,18 @@
             self.rankings[service, key] = ranking
         return ranking
 
-    def _add(self, target: RegisteredTarget) -> None:
-        service = target.registration.service
-        process = target.registration.process
-        target.announced = self.announcements.find(process)
+    def _add(self, registration: Registration) -> RegisteredTarget:
+        target = RegisteredTarget(registration)
+        service = registration.service
+        target.announced = self.announcements.find(registration.process)
+        target.pace.context = self.paces
+        target.pace.usual = self.usual_durations.setdefault(
+            service, UsualDuration()
+        )
         self.targets[target.name] = target
         self.services.setdefault(service, {})[target.name] = target
         self._forget_rankings(service)
+        return target
 
     def _discard(self, name: str) -> None:
         target = self.targets.pop(name, None)
--- a/packages/policy/sequoia_policy/target_choices.py
+++ b/packages/policy/sequoia_policy/target_choices.py
@@ -39,6 +39,16 @@
     return local or usable
 
 
+def prefer_within_limits(
+    usable: list[RegisteredTarget], now: timedelta
+) -> list[RegisteredTarget]:
+    """Return the targets whose limits admit one more request, or all."""
+    within = [
+        target for target in usable if target.pace.admits(target.running, now)
+    ]
+    return within or usable
+
+
 def choose_of_two(
     usable: list[RegisteredTarget],
     now: timedelta,
--- a/packages/policy/sequoia_policy/target_failures.py
+++ b/packages/policy/sequoia_policy/target_failures.py
@@ -40,5 +40,6 @@
         target.record_unreachable(now)
     elif failure.code is Code.TARGET_REFUSED:
         target.back_off(now, refusal_backoff)
+        target.pace.decrease(now)
     elif failure.code not in OWN_FAILURES:
         target.record_failure(now)
--- a/packages/rollouts/sequoia_rollouts/live/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_targets.py
@@ -9,7 +9,11 @@
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget
-from sequoia_policy.target_choices import choose_of_two, prefer_local
+from sequoia_policy.target_choices import (
+    choose_of_two,
+    prefer_local,
+    prefer_within_limits,
+)
 from sequoia_policy.target_failures import record_target_failure
 from sequoia_wire.durations import seconds_of
 from sequoia_wire.logs import Log, LogKind
@@ -68,7 +72,10 @@
         untried = [
             target for target in usable if target.name not in attempts.tried
         ]
-        candidates = prefer_local(untried or usable, self.domain, now)
+        candidates = untried or usable
+        if not attempts.refusals:  # else the others may all be at capacity
+            candidates = prefer_within_limits(candidates, now)
+        candidates = prefer_local(candidates, self.domain, now)
         target = choose_of_two(candidates, now, self.rng)
         attempts.target = target.name
         return target
@@ -90,7 +97,7 @@
         others = [target for target in usable if target.name not in used]
         if not others:
             return None
-        return choose_of_two(others, now, self.rng)
+        return choose_of_two(prefer_within_limits(others, now), now, self.rng)
 
     def record_failure(
         self,
--- a/packages/rollouts/sequoia_rollouts/process/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -87,6 +87,9 @@
             self.heartbeats.find_feed_interval,
         )
         self.directory.observers.append(self._apply_limits)
+        paces = self.directory.registry.paces
+        paces.host = self.settings.name
+        paces.count_hosts = self.heartbeats.count_hosts
         self.authenticator = Authenticator(
             self.directory, self.settings.key_age_limit
         )
--- a/packages/rollouts/sequoia_rollouts/targets/directories.py
+++ b/packages/rollouts/sequoia_rollouts/targets/directories.py
@@ -13,6 +13,7 @@
     TargetRegistry,
 )
 from sequoia_policy.routing import Configuration
+from sequoia_policy.target_paces import TargetPace
 from sequoia_wire.logs import Log, LogKind
 
 from sequoia_rollouts.storage.followers import TableFollower
@@ -47,6 +48,9 @@
 TARGET_REGISTERED = log.event(
     'target registered', 'target', 'leaving', 'release'
 )
+LIMIT_CHANGED = Log('target').event(
+    'concurrency limit changed', 'target', 'limit', 'slots', 'opens', 'restarts'
+)
 
 
 @frozen
@@ -104,6 +108,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the followers of both tables."""
+        self.registry.paces.observe = self._log_limit
         self.operator_follower = TableFollower(
             self.store,
             self.clock,
@@ -176,6 +181,16 @@
             target.record_loading(note.model, timedelta())
             target.record_version(note.model, note.version)
 
+    def _log_limit(self, target: str, pace: TargetPace) -> None:
+        wait = pace.opens_at - self.clock.elapsed()
+        LIMIT_CHANGED.write(
+            target=target,
+            limit=pace.limit,
+            slots=pace.slots,
+            opens=max(0, wait.total_seconds()),
+            restarts=pace.restarts,
+        )
+
     async def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             await self._apply_operator_row(row)
@@ -231,7 +246,7 @@
         if registration is None:
             self.registry.remove(row.key.key, now, self._find_grace())
             TARGET_GONE.write(target=row.key.key)
-        elif self.registry.register(registration):
+        elif self.registry.register(registration, now):
             TARGET_REGISTERED.write(
                 target=registration.name,
                 leaving=registration.leaving,
--- a/packages/rollouts/sequoia_rollouts/targets/published_targets.py
+++ b/packages/rollouts/sequoia_rollouts/targets/published_targets.py
@@ -180,7 +180,7 @@
         if row.registration is None:
             registry.remove(name, self.clock.elapsed(), NO_GRACE)
         else:
-            registry.register(row.registration)
+            registry.register(row.registration, self.clock.elapsed())
 
     async def _apply_listing(self, rows: tuple[Row, ...]) -> None:
         self.rows.clear()
