--- a/packages/rollouts/tests/host_processes.py
+++ b/packages/rollouts/tests/host_processes.py
@@ -26,6 +26,7 @@
 
     Attributes:
         stops: When SIGTERM was first sent to each of its processes, by time.
+        fields: Further fields of the settings file.
     """
 
     name: str
@@ -35,6 +36,7 @@
     domain: str = 'z1'
     process: subprocess.Popen | None = None
     stops: list = field(factory=list)
+    fields: dict = field(factory=dict)
 
     def start(self):
         settings = self.folder / f'{self.name}.conf'
@@ -56,6 +58,7 @@
             'platform.writesPerS': '800',
             'platform.readsPerS': '2000',
             'platform.partWritesS': '150',
+            **self.fields,
         }
         lines = [f'{key}={text}\n' for key, text in fields.items()]
         settings.write_text(''.join(lines))
