Bound what untrusted callers hold of memory, time and descriptors

Cause: bodies and responses were collected without a common bound and held several times; a chunk costs the parser 17 us (h11 18.2 us per event, 2 MiB in chunks of 64 bytes 0.56 s), so 60 such bodies took the event loop for half a minute; connections were not bounded by the descriptors. The stub SilentPeer.fetch in test_handoffs takes the new argument.

--- a/packages/rollouts/sequoia_rollouts/live/handoffs.py
+++ b/packages/rollouts/sequoia_rollouts/live/handoffs.py
@@ -13,6 +13,7 @@
 from attrs import define, evolve, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.memory_budgets import Reservation
 from sequoia_policy.target_paths import TargetPath
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.clients import HttpClient, Timeouts
@@ -185,6 +186,7 @@
             RequestHead('POST', PATH),
             self.key_ring.seal(encode(handoff)),
             Timeouts(CONNECT_TIMEOUT, max(CONNECT_TIMEOUT, time_left)),
+            request.holder,
         )
         if received.status != OK:
             raise ServiceError(
@@ -271,12 +273,16 @@
             await exchange.respond(failure.code.value.status)
             return
         try:
-            reply = await run_for_caller(exchange, self._serve, handoff)
+            reply = await run_for_caller(
+                exchange, self._serve, handoff, exchange.holder
+            )
         except CallerDisconnectedError:
             raise ConnectionAbortedError('the host disconnected') from None
         await exchange.respond(OK, self.key_ring.seal(encode(reply)))
 
-    async def _serve(self, handoff: Handoff) -> HandoffReply:
+    async def _serve(
+        self, handoff: Handoff, holder: Reservation
+    ) -> HandoffReply:
         request = LiveRequest(
             handoff.outgoing,
             handoff.host,
@@ -287,6 +293,7 @@
             attempts_before=handoff.attempts,
             account=handoff.account,
             priority=handoff.priority,
+            holder=holder,
         )
         reply = HandoffReply(handoff.nonce)
         try:
--- a/packages/rollouts/sequoia_rollouts/live/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_attempts.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field, frozen
 from sequoia_policy.errors import ServiceError
+from sequoia_policy.memory_budgets import Reservation
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.retries import AttemptFacts
 from sequoia_policy.routing import Route
@@ -35,6 +36,8 @@
         attempts_before: Attempts of that host that may have run.
         account: Name of the client account; empty for none.
         priority: Priority of the client account; None for that of the route.
+        holder: What the request and its response hold of the memory; None to
+            reserve none.
     """
 
     outgoing: OutgoingRequest
@@ -48,6 +51,7 @@
     attempts_before: int = 0
     account: str = ''
     priority: int | None = None
+    holder: Reservation | None = None
 
     @property
     def is_resumed(self) -> bool:
--- a/packages/rollouts/sequoia_rollouts/live/live_paths.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_paths.py
@@ -279,6 +279,7 @@
                 attempts.request.outgoing,
                 time_left,
                 Urgency.LIVE,
+                attempts.request.holder,
             )
         finally:
             target.running -= 1
--- a/packages/rollouts/sequoia_rollouts/live/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_streams.py
@@ -123,6 +123,7 @@
         target.running += 1
         try:
             async with self.sender.open(target, Urgency.LIVE) as call:
+                call.holder = stream.attempts.request.holder
                 async with limit_call_time(call, time_left):
                     return await self._run_call(stream, target, call)
         finally:
--- a/packages/rollouts/sequoia_rollouts/process/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from sequoia_policy.clocks import Clock
 from sequoia_wire.logs import OUTPUT, Log
+from sequoia_wire.memory import Memory
 from sequoia_wire.servers import Handler, HttpServer
 
 from sequoia_rollouts.fleet.coordination import Coordination
@@ -25,7 +26,7 @@
     build_result_reader,
 )
 from sequoia_rollouts.base.settings import HostSettings
-from sequoia_rollouts.process.fronts import make_server_limits
+from sequoia_rollouts.process.fronts import make_memory, make_server_limits
 from sequoia_rollouts.process.platforms import Platform
 from sequoia_rollouts.process.shutdowns import Shutdown
 from sequoia_rollouts.process.status import StatusServers
@@ -65,6 +66,7 @@
     submission_handler: SubmissionHandler = field(init=False)
     weights: WeightManagers = field(init=False)
     results: ResultReader = field(init=False)
+    memory: Memory = field(init=False)
     front: HttpServer = field(init=False)
     publisher: RegistrationPublisher = field(init=False)
     sweeper: Sweeper = field(init=False)
@@ -73,6 +75,7 @@
     def __attrs_post_init__(self) -> None:
         """Create all components."""
         store = self.platform.store
+        self.memory = make_memory(self.settings)
         self.reloader = SettingsReloader(
             self.settings, self.platform.read_settings, self._apply_settings
         )
@@ -104,6 +107,7 @@
             self.ownership,
             self.rng,
         )
+        dependencies.sender.client.memory = self.memory
         self.live = LivePath(
             self.clock,
             self.directory,
@@ -182,10 +186,13 @@
         group: curio.TaskGroup,
     ) -> None:
         """Open the host's addresses and run its loops in a group of tasks."""
-        self.front = HttpServer(self.settings.front, handler)
+        self.front = HttpServer(
+            self.settings.front, handler, memory=self.memory
+        )
         self._apply_limits()
         self.front.open()
         peer_server = self.results.make_peer_server(self.settings.peer)
+        peer_server.memory = self.memory
         peer_server.handler = self.live.make_handoff_server(
             peer_server.handler
         ).handle
@@ -247,7 +254,7 @@
     def _apply_limits(self) -> None:
         """Apply the configured limits for requests of callers."""
         self.front.limits = make_server_limits(
-            self.directory.configuration.limits
+            self.directory.configuration.limits, self.settings
         )
 
     def _on_reload(self, _signal_number: int, _frame: object) -> None:
--- a/packages/rollouts/sequoia_rollouts/targets/senders.py
+++ b/packages/rollouts/sequoia_rollouts/targets/senders.py
@@ -8,6 +8,7 @@
 from attrs import define, field, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.memory_budgets import Reservation
 from sequoia_policy.permits import Urgency
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.target_paths import TargetPath
@@ -143,6 +144,7 @@
         outgoing: OutgoingRequest,
         timeout: timedelta,
         urgency: Urgency,
+        holder: Reservation | None = None,
     ) -> LabelledResponse:
         """Send a request and return the complete response.
 
@@ -152,6 +154,8 @@
             timeout: Maximum time to wait for the complete response; the target
                 is told of it.
             urgency: How soon the response is needed.
+            holder: Gets the memory that is reserved for the response; None to
+                reserve none.
 
         Raises:
             ServiceError: If there is no valid response. Its verdict is NOT_RUN
@@ -159,6 +163,7 @@
         """
         deadline = self.clock.elapsed() + timeout
         async with self.open(target, urgency) as call:
+            call.holder = holder
             time_left = deadline - self.clock.elapsed()
             labels = CallLabels(outgoing.id, target.name, time_left)
             async with limit_call_time(call, time_left):
--- a/packages/rollouts/tests/test_handoffs.py
+++ b/packages/rollouts/tests/test_handoffs.py
@@ -19,7 +19,7 @@
 
     sent: int = 0
 
-    async def fetch(self, address, head, body=b'', timeouts=None):
+    async def fetch(self, address, head, body=b'', timeouts=None, holder=None):
         self.sent += 1
         raise ServiceError(Code.TARGET_BROKE, 'no response')
 
--- a/packages/wire/sequoia_wire/clients.py
+++ b/packages/wire/sequoia_wire/clients.py
@@ -1,5 +1,6 @@
 """HTTP client that tracks whether a request may have reached its target."""
 
+import io
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -9,23 +10,30 @@
 import h11
 from attrs import define, field, frozen
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.memory_budgets import SMALL_BYTES, Reservation
 from sequoia_policy.verdicts import Verdict
 
 from sequoia_wire.connections import ClientConnection, parse_expiry
+from sequoia_wire.memory import Memory
 from sequoia_wire.messages import (
+    PIECE_BYTES,
     Address,
     Header,
     RequestHead,
     Response,
     ResponseHead,
     encode_headers,
+    split_body,
 )
+from sequoia_wire.numbers import parse_count
 from sequoia_wire.sockets import connect
 
 IDLE_CONNECTIONS_PER_ADDRESS = 32
 MIN_TIME_LIMIT = timedelta(milliseconds=1)
 MAX_INTERIM_RESPONSES = 8  # before the final response
 MAX_BODY_BYTES = 16 * 1024 * 1024  # of a response that is read as a whole
+# Time that a target waits until there is memory for its response.
+MEMORY_PATIENCE = timedelta(seconds=2)
 
 
 @frozen
@@ -51,6 +59,9 @@
 
     Attributes:
         sent: Whether any byte of the request may have been sent.
+        holder: Gets the memory that is reserved for the response.
+        reserved: Bytes that were reserved for it.
+        declared_size: Length of the response that its head declares.
     """
 
     client: 'HttpClient'
@@ -58,15 +69,25 @@
     timeouts: Timeouts
     connection: ClientConnection | None = None
     sent: bool = False
+    holder: Reservation | None = None
+    reserved: int = 0
+    declared_size: int = 0
 
     async def __aenter__(self) -> 'Call':
         """Enter the context; ``send`` opens the connection."""
         self.client.calls.add(self)
         return self
 
-    async def __aexit__(self, *exc_info: object) -> None:
-        """Release the connection for reuse, or close it."""
+    async def __aexit__(
+        self, error_type: type[BaseException] | None, *exc_info: object
+    ) -> None:
+        """Release the connection for reuse, or close it.
+
+        What is reserved for a complete response stays with ``holder``.
+        """
         self.client.calls.discard(self)
+        if error_type is not None:
+            self.client.memory.shrink(self.holder, self.reserved)
         await self.client.release(self.connection)
 
     async def send(
@@ -119,19 +140,40 @@
             ServiceError: If the response is incomplete, stalls or is larger
                 than the client accepts.
         """
-        chunks: list[bytes] = []
+        content = io.BytesIO()  # returns its content without a copy
+        limit = self.client.max_body_bytes
         size = 0
+        await self._reserve(min(self.declared_size, limit))
         chunk = await self.read_chunk()
         while chunk:
             size += len(chunk)
-            if size > self.client.max_body_bytes:
+            if size > limit:
                 raise ServiceError(
-                    Code.WRONG_ANSWER,
-                    f'response body exceeds {self.client.max_body_bytes} bytes',
+                    Code.WRONG_ANSWER, f'response body exceeds {limit} bytes'
                 )
-            chunks.append(chunk)
+            if size > max(SMALL_BYTES, self.reserved):
+                await self._reserve(min(limit, max(size, 2 * self.reserved)))
+            content.write(chunk)
             chunk = await self.read_chunk()
-        return b''.join(chunks)
+        return content.getvalue()
+
+    async def _reserve(self, size: int) -> None:
+        """Reserve memory for a response; its target waits meanwhile.
+
+        Raises:
+            ServiceError: If there is none. The request has run.
+        """
+        holder = self.holder
+        if holder is None or size <= SMALL_BYTES:
+            return
+        added = size - self.reserved
+        try:
+            await self.client.memory.extend(holder, added, MEMORY_PATIENCE)
+        except ServiceError as error:
+            raise ServiceError(
+                error.code, error.detail, verdict=Verdict.RAN
+            ) from error
+        self.reserved = size
 
     def _default_headers(
         self,
@@ -149,11 +191,7 @@
             async with curio.timeout_after(
                 self.timeouts.progress.total_seconds(),
             ):
-                await self.connection.send_events(
-                    request,
-                    h11.Data(body),
-                    h11.EndOfMessage(),
-                )
+                await self._send_pieces(request, body)
         except curio.TaskTimeout as error:
             raise ServiceError(
                 Code.TARGET_STALLED, str(self.address)
@@ -161,12 +199,27 @@
         except OSError as error:
             raise ServiceError(Code.TARGET_BROKE, str(error)) from error
 
+    async def _send_pieces(self, request: h11.Request, body: bytes) -> None:
+        """Send a small request at once, and a large one without joining it."""
+        assert self.connection
+        send = self.connection.send_events
+        if len(body) <= PIECE_BYTES:
+            await send(request, h11.Data(body), h11.EndOfMessage())
+            return
+        await send(request)
+        for piece in split_body(body):
+            await send(h11.Data(piece))
+        await send(h11.EndOfMessage())
+
     async def _read_head(self) -> ResponseHead:
         async with limit_call_time(self, self.timeouts.progress):
             event = await self._read_final_head()
         if not isinstance(event, h11.Response):
             raise ServiceError(Code.TARGET_BROKE, 'no response head')
         head = ResponseHead(event.status_code, tuple(event.headers))
+        self.declared_size = (
+            parse_count(head.header('content-length') or '') or 0
+        )
         assert self.connection
         self.connection.expires_at = parse_expiry(head)
         return head
@@ -209,6 +262,7 @@
         max_body_bytes: Maximum size of a response that is read as a whole.
         calls: The calls in flight.
         aborted: Whether all calls fail, as the process ends.
+        memory: Memory of the process, for responses that are read as a whole.
     """
 
     idle: dict[Address, list[ClientConnection]] = field(
@@ -218,6 +272,7 @@
     max_body_bytes: int = MAX_BODY_BYTES
     calls: set[Call] = field(factory=set)
     aborted: bool = False
+    memory: Memory = field(factory=Memory)
 
     def call(self, address: Address, timeouts: Timeouts) -> Call:
         """Return a call to ``address``; use it with ``async with``."""
@@ -229,15 +284,18 @@
         head: RequestHead,
         body: bytes = b'',
         timeouts: Timeouts = DEFAULT_TIMEOUTS,
+        holder: Reservation | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
         The head and the body must each arrive within ``timeouts.progress``.
+        Memory for the body is reserved for ``holder`` if there is one.
 
         Raises:
             ServiceError: If the call fails.
         """
         async with self.call(address, timeouts) as call:
+            call.holder = holder
             response_head = await call.send(head, body)
             async with limit_call_time(call, timeouts.progress):
                 return Response(response_head, await call.read_body())
--- a/packages/wire/sequoia_wire/exchanges.py
+++ b/packages/wire/sequoia_wire/exchanges.py
@@ -1,19 +1,29 @@
 """Server side of an HTTP request and its response."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 
 import curio
 import h11
-from attrs import define, frozen
+from attrs import define, field, frozen
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.memory_budgets import Reservation, Use
 from sequoia_policy.verdicts import Verdict
 
+from sequoia_wire.bodies import BodyReader, Turns
 from sequoia_wire.clocks import monotonic_time
-from sequoia_wire.http_events import READ_SIZE, read_event
-from sequoia_wire.messages import Header, RequestHead, encode_headers
-
-MIN_BODY_RATE = 1000  # bytes per second, from the first read of a body
+from sequoia_wire.http_events import read_event
+from sequoia_wire.memory import Memory, make_reservation
+from sequoia_wire.messages import (
+    PIECE_BYTES,
+    Header,
+    RequestHead,
+    encode_headers,
+    split_body,
+)
+
+HEAD_READ_SIZE = 16384  # bytes
 VERDICT_HEADER = 'sequoia-verdict'
 CODE_HEADER = 'sequoia-code'
 
@@ -25,11 +35,15 @@
     Attributes:
         header_bytes: Maximum size of a request head.
         body_bytes: Maximum size of a request body.
-        connections: Maximum number of open connections.
+        connections: Maximum number of open connections with requests.
         progress: Time to receive a whole request head, and timeout of each
             read of a request body and each write of a response. A body that
-            takes longer must arrive at ``MIN_BODY_RATE``.
+            takes longer must arrive at ``bodies.MIN_BODY_RATE``.
         idle: Maximum time a connection waits for its next request.
+        open_connections: Maximum number of open connections; over it,
+            connections that wait for a request are closed.
+        buffer_bytes: Size of the kernel's buffers of a connection in each
+            direction; None for the default of the system.
     """
 
     header_bytes: int = 16384
@@ -37,6 +51,8 @@
     connections: int = 2000
     progress: timedelta = timedelta(seconds=10)
     idle: timedelta = timedelta(seconds=60)
+    open_connections: int = 65536
+    buffer_bytes: int | None = None
 
 
 def is_never_stopping() -> bool:
@@ -53,6 +69,10 @@
         closing: Whether the connection closes after this response.
         is_stopping: Returns whether the server closes all connections after
             their next response.
+        memory: Memory of the process.
+        holder: What the request and its response hold of it.
+        turns: Shares the event loop among large bodies.
+        received: Size of the request body.
     """
 
     sock: curio.io.Socket
@@ -62,6 +82,10 @@
     started: bool = False
     closing: bool = False
     is_stopping: Callable[[], bool] = is_never_stopping
+    memory: Memory = field(factory=Memory)
+    holder: Reservation = field(factory=make_reservation)
+    turns: Turns = field(factory=Turns)
+    received: int = 0
 
     async def read_request(self) -> h11.Event:
         """Return the first event of the next request.
@@ -91,25 +115,34 @@
         """Return the request body.
 
         Raises:
-            ServiceError: If the body is too large, stalls or is incomplete.
+            ServiceError: If the body is too large, stalls or is incomplete, or
+                if its memory is needed for others.
         """
         self._check_length()
-        chunks: list[bytes] = []
-        size = 0
-        started_at = monotonic_time()
-        event = await self._read_body_event(started_at, size)
-        while isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > self.limits.body_bytes:
-                raise ServiceError(
-                    Code.BODY_TOO_LARGE,
-                    f'received {size} bytes of the request body',
-                )
-            chunks.append(bytes(event.data))
-            event = await self._read_body_event(started_at, size)
-        if not isinstance(event, h11.EndOfMessage):
-            raise ServiceError(Code.BAD_REQUEST, 'incomplete request body')
-        return b''.join(chunks)
+        length = self.head.header('content-length')
+        reader = BodyReader(
+            self.sock,
+            self.state,
+            self.limits,
+            self.memory,
+            self.holder,
+            self.turns,
+        )
+        with translate_errors():
+            body = await reader.read(
+                int(length) if length else None,
+                bool(self.head.header('transfer-encoding')),
+            )
+        self.received = len(body)
+        return body
+
+    async def reserve(self, size: int) -> None:
+        """Reserve memory for the work on a request, beside its body.
+
+        Raises:
+            ServiceError: If the memory is needed for others.
+        """
+        await self.memory.reserve(self.holder, self.holder.size + size)
 
     async def respond(
         self,
@@ -122,7 +155,17 @@
         self.close_unless_read()
         length = encode_headers({'content-length': str(len(body))})
         response = self._response(status, (*length, *headers))
-        await self._send(response, h11.Data(body), h11.EndOfMessage())
+        if len(body) <= PIECE_BYTES:
+            await self._send(response, h11.Data(body), h11.EndOfMessage())
+            return
+        needed = self.received + len(body)
+        self.memory.overdraw(self.holder, max(self.holder.size, needed))
+        self.holder.use = Use.RESPONSE
+        await self._send(response)
+        for piece in split_body(body):
+            await self._send(h11.Data(piece))
+            self.holder.record_transfer(len(piece), monotonic_time())
+        await self._send(h11.EndOfMessage())
 
     async def start(
         self,
@@ -148,18 +191,10 @@
         Raises:
             ServiceError: If the peer stalls or violates the protocol.
         """
-        try:
-            return await read_event(self.sock, self.state, timeout)
-        except curio.TaskTimeout as error:
-            raise ServiceError(
-                Code.STALLED, 'the peer sent no data within the timeout'
-            ) from error
-        except h11.RemoteProtocolError as error:
-            too_large = (
-                error.error_status_hint == Code.HEADERS_TOO_LARGE.value.status
+        with translate_errors():
+            return await read_event(
+                self.sock, self.state, timeout, HEAD_READ_SIZE
             )
-            code = Code.HEADERS_TOO_LARGE if too_large else Code.BAD_REQUEST
-            raise ServiceError(code, str(error)) from error
 
     def close_unless_read(self) -> None:
         """Close after this response if the request was not read completely."""
@@ -170,27 +205,13 @@
         """Wait until a request begins, or until the connection ends."""
         try:
             async with curio.timeout_after(self.limits.idle.total_seconds()):
-                received = await self.sock.recv(READ_SIZE)
+                received = await self.sock.recv(HEAD_READ_SIZE)
         except curio.TaskTimeout as error:
             raise ServiceError(
                 Code.STALLED, 'the peer sent no request in time'
             ) from error
         self.state.receive_data(received)
 
-    async def _read_body_event(
-        self, started_at: timedelta, size: int
-    ) -> h11.Event:
-        """Return the next event of the request body.
-
-        Args:
-            started_at: When the first read of the body started.
-            size: Number of bytes received so far.
-        """
-        limit = self.limits.progress + timedelta(seconds=size / MIN_BODY_RATE)
-        remaining = started_at + limit - monotonic_time()
-        timeout = min(self.limits.progress, max(timedelta(), remaining))
-        return await self.next_event(timeout)
-
     def _check_length(self) -> None:
         declared = self.head.header('content-length')
         if declared and int(declared) > self.limits.body_bytes:
@@ -211,15 +232,39 @@
     async def _send(self, *events: h11.Event) -> None:
         chunks = [self.state.send(event) or b'' for event in events]
         seconds = self.limits.progress.total_seconds()
+        unsent = memoryview(b''.join(chunks))
         try:
-            async with curio.timeout_after(seconds):
-                await self.sock.sendall(b''.join(chunks))
+            while unsent:
+                async with curio.timeout_after(seconds):
+                    sent = await self.sock.send(unsent)
+                unsent = unsent[sent:]
         except curio.TaskTimeout as error:
             raise ConnectionAbortedError(
                 'write timed out: the peer does not read'
             ) from error
 
 
+@contextmanager
+def translate_errors() -> Iterator[None]:
+    """Translate what ends the reading of a request.
+
+    Raises:
+        ServiceError: If the peer stalls or violates the protocol.
+    """
+    try:
+        yield
+    except curio.TaskTimeout as error:
+        raise ServiceError(
+            Code.STALLED, 'the peer sent no data within the timeout'
+        ) from error
+    except h11.RemoteProtocolError as error:
+        too_large = (
+            error.error_status_hint == Code.HEADERS_TOO_LARGE.value.status
+        )
+        code = Code.HEADERS_TOO_LARGE if too_large else Code.BAD_REQUEST
+        raise ServiceError(code, str(error)) from error
+
+
 def encode_error(error: ServiceError) -> tuple[Header, ...]:
     """Return the headers for an error's code, verdict and retry delay."""
     headers = encode_headers(
--- a/packages/wire/sequoia_wire/messages.py
+++ b/packages/wire/sequoia_wire/messages.py
@@ -1,12 +1,13 @@
 """HTTP request and response heads, headers and addresses."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from attrs import field, frozen
 
 from sequoia_wire.numbers import parse_count
 
 MAX_PORT = 65535
+PIECE_BYTES = 65536  # of a body that is sent in pieces
 
 Header = tuple[bytes, bytes]
 
@@ -18,6 +19,12 @@
     )
 
 
+def split_body(body: bytes) -> Iterator[bytes]:
+    """Return the pieces of a body in order."""
+    for start in range(0, len(body), PIECE_BYTES):
+        yield body[start : start + PIECE_BYTES]
+
+
 def find_header(headers: tuple[Header, ...], name: str) -> str | None:
     """Return the value of the first header named ``name``, or None.
 
--- a/packages/wire/sequoia_wire/servers.py
+++ b/packages/wire/sequoia_wire/servers.py
@@ -7,12 +7,19 @@
 import h11
 from attrs import define, field
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.memory_budgets import Use
 
+from sequoia_wire.bodies import Turns
 from sequoia_wire.clocks import monotonic_time
 from sequoia_wire.exchanges import Exchange, ServerLimits, encode_error
-from sequoia_wire.logs import Log
+from sequoia_wire.logs import Log, LogKind
+from sequoia_wire.memory import Memory
 from sequoia_wire.messages import Address, RequestHead
-from sequoia_wire.sockets import disable_nagle
+from sequoia_wire.sockets import (
+    disable_nagle,
+    limit_buffers,
+    shut_down_socket,
+)
 
 BACKLOG = 512  # connections
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=20)
@@ -20,6 +27,12 @@
 FIRST_REQUEST_GRACE = timedelta(milliseconds=250)
 
 log = Log('http')
+CONNECTION_CLOSED = log.event(
+    'connection closed for others',
+    'code',
+    'connections',
+    kind=LogKind.FAILURE,
+)
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -38,6 +51,8 @@
         on_refusal: Called with the error of each refused request.
         closing: Whether each connection closes after its next response.
         draining: Whether the server has stopped accepting connections.
+        memory: Memory of the process.
+        turns: Shares the event loop among large bodies.
     """
 
     address: Address
@@ -49,6 +64,8 @@
     closing: bool = False
     listener: curio.io.Socket | None = None
     accepting: curio.Task | None = None
+    memory: Memory = field(factory=Memory)
+    turns: Turns = field(factory=Turns)
 
     def open(self) -> None:
         """Bind and listen.
@@ -62,6 +79,8 @@
             backlog=BACKLOG,
             reuse_address=True,
         )
+        if self.limits.buffer_bytes:
+            limit_buffers(self.listener, self.limits.buffer_bytes)
         host, port = self.listener._socket.getsockname()[:2]  # noqa: SLF001
         self.address = Address(host, port)
 
@@ -115,10 +134,45 @@
         except OSError:
             await sock.close()  # the peer has reset the connection
             return
+        if len(self.connections) >= self.limits.open_connections:
+            if not await self._close_one():
+                CONNECTION_CLOSED.write(
+                    code='new', connections=len(self.connections)
+                )
+                await sock.close()
+                return
         connection = ServerConnection(self, sock)
         self.connections.add(connection)
         await curio.spawn(connection.run, daemon=True)
 
+    async def _close_one(self) -> bool:
+        """Close a connection that serves no request; return whether one did.
+
+        Those that never brought a request come before idle ones, and the
+        oldest of each kind comes first.
+        """
+        waiting = [
+            connection
+            for connection in self.connections
+            if connection.task and not connection.busy
+        ]
+        if not waiting:
+            return False
+        chosen = min(
+            waiting,
+            key=lambda connection: (
+                bool(connection.requests),
+                connection.accepted_at,
+            ),
+        )
+        CONNECTION_CLOSED.write(
+            code='idle' if chosen.requests else 'half_open',
+            connections=len(self.connections),
+        )
+        assert chosen.task
+        await chosen.task.cancel()
+        return True
+
 
 @define(eq=False)
 class ServerConnection:
@@ -173,6 +227,15 @@
             return False
         return bool(received)
 
+    def _end_transfer(self) -> None:
+        """End what is received or sent, as its memory is needed for others.
+
+        A request whose body is not complete still gets its refusal.
+        """
+        assert self.exchange
+        is_sending = self.exchange.holder.use is Use.RESPONSE
+        shut_down_socket(self.sock, only_reading=not is_sending)
+
     async def _serve_all(self) -> None:
         state = h11.Connection(
             our_role=h11.SERVER,
@@ -185,9 +248,15 @@
                 state,
                 self.server.limits,
                 is_stopping=self.server.is_stopping,
+                memory=self.server.memory,
+                turns=self.server.turns,
             )
             self.exchange = exchange
-            keep_alive = await self._serve_one(exchange)
+            exchange.holder.close = self._end_transfer
+            try:
+                keep_alive = await self._serve_one(exchange)
+            finally:
+                self.server.memory.release(exchange.holder)
 
     async def _serve_one(self, exchange: Exchange) -> bool:
         try:
--- a/packages/wire/sequoia_wire/sockets.py
+++ b/packages/wire/sequoia_wire/sockets.py
@@ -30,7 +30,16 @@
     return sock
 
 
-def shut_down_socket(sock: curio.io.Socket) -> None:
+def limit_buffers(sock: curio.io.Socket, size: int) -> None:
+    """Set the kernel's buffers of a listening socket's connections."""
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, size)
+
+
+def shut_down_socket(
+    sock: curio.io.Socket, *, only_reading: bool = False
+) -> None:
     """End a connection; a task that waits for its data sees the end of it."""
+    how = socket.SHUT_RD if only_reading else socket.SHUT_RDWR
     with suppress(OSError):  # it may have ended already
-        sock._socket.shutdown(socket.SHUT_RDWR)  # noqa: SLF001
+        sock._socket.shutdown(how)  # noqa: SLF001
