--- a/packages/rollouts/tests/test_usage.py
+++ b/packages/rollouts/tests/test_usage.py
@@ -4,11 +4,26 @@
 from datetime import timedelta
 
 import curio
+import orjson
+import pytest
 from api_standin import ApiStandin
 from sequoia_platform.apis import PlatformHttpApi
+from sequoia_policy.errors import Code, ServiceError
 from sequoia_rollouts.base.settings import DutySettings
-from sites import open_site, wait_until
+from sequoia_rollouts.storage.stores import ConflictError
+from sequoia_rollouts.usage.reporters import KEPT_REPORTS
+from sequoia_rollouts.usage.usage_rows import counts_key
+from sites import make_lot, open_site, wait_until
 from test_accounts import LARGE, SMALL, configure, make_accounts
+from test_handoffs import cut_first
+from test_hedges import make_one_slow
+from test_streams import (
+    change_idle_engines,
+    make_streaming_manifest,
+    open_call,
+    read_chunks,
+    start_stream,
+)
 
 DUTIES = DutySettings(
     reports_usage=True,
@@ -35,7 +50,11 @@
 
 async def activate(site, *names):
     """Configure accounts and wait until all hosts count."""
-    await configure(site, make_accounts(*names))
+    manifest = make_accounts(*names)
+    manifest['routes'].append(
+        make_streaming_manifest(resumable=True)['routes'][-1]
+    )
+    await configure(site, manifest)
     await wait_until(
         lambda: all(host.duties.usage.is_active for host in site.hosts)
     )
@@ -92,3 +111,300 @@
     assert not calls
     assert not rows
     assert all(b'wall_ahead' not in lease for lease in leases.values())
+
+
+def count_here(host):
+    """Return the requests that a host has counted, of all its windows."""
+    counts = host.live.usage.counts
+    return sum(counts.count(window) for window in counts.windows)
+
+
+def list_runs(site):
+    return [run for server in site.scorers for run in server.runs]
+
+
+async def call_small(site, host, path='/live/x', request_id='r1', **headers):
+    headers = {'x_api_key': SMALL, **headers}
+    response = await site.call(
+        host, 'POST', path, attempt_id=request_id, **headers
+    )
+    return response.status
+
+
+def test_a_hedged_request_counts_once():
+    """Two targets ran it, and both may have responded."""
+
+    async def main():
+        async with open_usage_site(scorers=2) as (site, _api):
+            await activate(site, 'small')
+            make_one_slow(site, 0.3)
+            status = await call_small(site, site.hosts[0])
+            await curio.sleep(0.5)
+            return status, len(list_runs(site)), count_here(site.hosts[0])
+
+    assert curio.run(main) == (200, 2, 1)
+
+
+def test_a_request_that_failed_at_its_first_target_counts_once():
+    async def main():
+        async with open_usage_site(scorers=2) as (site, _api):
+            await activate(site, 'small')
+            for server in site.scorers:
+                server.fail = 1
+            await call_small(site, site.hosts[0])
+            return len(list_runs(site)), count_here(site.hosts[0])
+
+    assert curio.run(main) == (2, 1)
+
+
+def test_a_request_that_no_target_began_does_not_count():
+    async def main():
+        async with open_usage_site() as (site, _api):
+            await activate(site, 'small')
+            site.scorers[0].refuse = 100
+            status = await call_small(site, site.hosts[0])
+            return status, count_here(site.hosts[0])
+
+    assert curio.run(main) == (503, 0)
+
+
+def test_a_request_without_an_account_does_not_count():
+    async def main():
+        async with open_usage_site() as (site, _api):
+            await activate(site, 'small')
+            host = site.hosts[0]
+            status = await site.call(host, 'POST', '/open/x', attempt_id='r')
+            return status.status, count_here(host)
+
+    assert curio.run(main) == (200, 0)
+
+
+def test_a_request_that_was_handed_on_counts_at_the_host_that_sent_it():
+    """Both hosts took part; the one without targets did not run it."""
+
+    async def main():
+        async with open_usage_site(hosts=2, scorers=3) as (site, _api):
+            await activate(site, 'small')
+            host, other = await cut_first(site)
+            status = await call_small(site, host)
+            return status, count_here(host), count_here(other)
+
+    assert curio.run(main) == (200, 0, 1)
+
+
+def test_a_stream_counts_once_when_it_begins_and_not_when_it_resumes():
+    async def main():
+        async with open_usage_site(engines=2, pace=0.05) as (site, _api):
+            await activate(site, 'small')
+            for engine in site.engines:
+                engine.break_after = 1
+            host = site.hosts[0]
+            async with open_call(site, host) as call:
+                head = await start_stream(call, x_api_key=SMALL)
+                begun = count_here(host)
+                change_idle_engines(site)
+                await read_chunks(call)
+            runs = sum(len(engine.runs) for engine in site.engines)
+            return head.status, begun, runs, count_here(host)
+
+    assert curio.run(main) == (200, 1, 2, 1)
+
+
+def test_items_and_reward_calls_do_not_count():
+    async def main():
+        async with open_usage_site() as (site, _api):
+            await activate(site, 'small')
+            host = site.hosts[0]
+            async with curio.timeout_after(5):
+                while await submit(site, host) != 202:
+                    await curio.sleep(0.1)
+            await wait_until(lambda: len(list_runs(site)) == 6)
+            return count_here(host)
+
+    assert curio.run(main) == 0
+
+
+async def submit(site, host):
+    body = orjson.dumps(make_lot())
+    response = await site.call(
+        host, 'POST', '/train/x', body, attempt_id='lot1', x_api_key=SMALL
+    )
+    return response.status
+
+
+def check_reports(api):
+    """Check that all windows were reported with one count each."""
+    reports = api.reports()
+    assert all(len(counts) == 1 for counts in reports.values()), reports
+    assert sorted(reports) == list(range(min(reports), max(reports) + 1))
+    return reports
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [{'down': 503}, {'to_refuse': 4}, {'to_lose': 3}, {'is_holding': True}],
+)
+def test_reports_are_repeated_until_the_api_accepts_them(fault):
+    async def main():
+        async with open_usage_site() as (site, api):
+            await activate(site, 'small')
+            await wait_until(lambda: api.accepted)
+            for name, value in fault.items():
+                setattr(api, name, value)
+            await call_small(site, site.hosts[0])
+            await curio.sleep(1.5)
+            api.down, api.is_holding = 0, False
+            await wait_until(lambda: sum_reports(api) == 1)
+            newest = max(api.reports())
+            await wait_until(lambda: max(api.reports()) > newest + 1)
+            check_reports(api)
+
+    curio.run(main)
+
+
+def sum_reports(api):
+    """Return the requests of all windows, repetitions left out."""
+    return sum(sum(counts[0].values()) for counts in api.reports().values())
+
+
+def test_a_conflict_makes_the_holder_take_the_duty_under_a_new_token():
+    async def main():
+        async with open_usage_site() as (site, api):
+            api.requires_fence = True
+            await activate(site, 'small')
+            await wait_until(lambda: api.accepted)
+            before = api.calls[-1].fence
+            api.highest['/usage'] = before + 1
+            await wait_until(lambda: api.calls[-1].status == 409)
+            refused_at = api.calls[-1].at
+            await wait_until(lambda: api.calls[-1].status == 200)
+            check_reports(api)
+            return before, api.calls[-1].fence, api.calls[-1].at - refused_at
+
+    before, after, waited = curio.run(main)
+    assert after > before
+    assert waited >= 1
+
+
+def test_counts_are_kept_while_the_store_is_away():
+    async def main():
+        async with open_usage_site() as (site, api):
+            await activate(site, 'small')
+            await wait_until(lambda: api.accepted)
+            site.store.down = 503
+            statuses = [
+                await call_small(site, site.hosts[0], request_id=f'r{number}')
+                for number in range(5)
+            ]
+            await curio.sleep(1)
+            site.store.down = 0
+            await wait_until(lambda: sum_reports(api) == 5)
+            return statuses
+
+    assert curio.run(main) == [200] * 5
+
+
+def test_a_lost_response_to_the_row_of_a_report_changes_no_report():
+    """The host would sum again and send what the row does not contain."""
+
+    async def main():
+        async with open_usage_site() as (site, api):
+            await activate(site, 'small')
+            await wait_until(lambda: api.accepted)
+            for number in range(8):
+                site.store.responses_to_lose = 2
+                await call_small(site, site.hosts[0], request_id=f'r{number}')
+                await curio.sleep(0.4)
+            await curio.sleep(3)
+            reports = check_reports(api)
+            rows = site.store.find('usage_reports')
+            return reports, rows
+
+    reports, rows = curio.run(main)
+    for key, body in rows.items():
+        if int(key) in reports:
+            assert reports[int(key)] == [orjson.loads(body)['counts']]
+
+
+def test_a_host_that_stops_writes_its_counts_and_releases_the_duty():
+    """Counts of its last half window would be lost."""
+
+    async def main():
+        async with open_usage_site(hosts=2) as (site, api):
+            await activate(site, 'small')
+            await wait_until(lambda: api.accepted)
+            holder = next(
+                host
+                for host in site.hosts
+                if host.settings.name == api.calls[-1].holder
+            )
+            other = next(host for host in site.hosts if host is not holder)
+            await call_small(site, holder)
+            await holder.shut_down()
+            await wait_until(
+                lambda: api.calls[-1].holder == other.settings.name
+            )
+            await wait_until(lambda: sum_reports(api) == 1)
+            return check_reports(api)
+
+    assert curio.run(main)
+
+
+def test_a_write_that_is_carried_out_late_does_not_replace_a_newer_one():
+    async def main():
+        async with open_usage_site() as (site, _api):
+            await activate(site, 'small')
+            writer = site.hosts[0].duties.usage.writer
+            counts = writer.counter.counts
+            window = writer.timing.find_window(writer.counter.true_clock.now())
+            counts.add(window, 'small')
+            assert await writer.flush()
+            late = writer.store.commit
+            held = []
+
+            async def hold(transaction):
+                held.append(transaction)
+                raise ServiceError(Code.STORE_UNAVAILABLE, 'no response')
+
+            counts.add(window, 'small')
+            writer.store = Held(hold)
+            assert not await writer.flush()
+            writer.store = site.hosts[0].platform.store
+            counts.add(window, 'small')
+            assert await writer.flush()
+            with pytest.raises(ConflictError):
+                await late(held[0])
+            owner = site.hosts[0].heartbeats.owner
+            rows = site.store.find('usage')
+            return orjson.loads(rows[counts_key(window, owner).key])
+
+    assert curio.run(main) == {'small': 3}
+
+
+class Held:
+    """A store whose transactions are carried out later."""
+
+    def __init__(self, commit):
+        self.commit = commit
+
+
+def test_old_counts_are_removed():
+    """Rows would pile up, also those that came after the sum."""
+
+    async def main():
+        async with open_usage_site() as (site, api):
+            await activate(site, 'small')
+            await wait_until(lambda: api.accepted)
+            window = max(api.reports())
+            for number in range(window - 40, window - 8):
+                key = counts_key(number, f'late-{number}')
+                site.store.put_bytes(
+                    key.table, key.key, b'{"small":1}', key.part
+                )
+            await call_small(site, site.hosts[0])
+            await wait_until(lambda: not site.store.find('usage'), 25)
+            reports = len(site.store.find('usage_reports'))
+            return reports, check_reports(api)
+
+    reports, _found = curio.run(main)
+    assert reports <= KEPT_REPORTS + 1
