--- a/packages/rollouts/sequoia_rollouts/process/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -31,7 +31,6 @@
 from sequoia_rollouts.process.platforms import Platform
 from sequoia_rollouts.process.shutdowns import Shutdown
 from sequoia_rollouts.process.status import StatusServers
-from sequoia_rollouts.storage.stores import Committer
 from sequoia_rollouts.submissions.submission_handlers import SubmissionHandler
 from sequoia_rollouts.base.supervisors import filter_loop_log, supervise
 from sequoia_rollouts.process.sweepers import Sweeper
@@ -141,7 +140,7 @@
             self.directory,
             dependencies.sender,
             self.ownership,
-            Committer(store, self.clock),
+            store,
             self.settings.order_lease,
         )
         self.duties = build_duties(self)
--- a/packages/rollouts/sequoia_rollouts/weights/weight_managers.py
+++ b/packages/rollouts/sequoia_rollouts/weights/weight_managers.py
@@ -20,7 +20,7 @@
 from sequoia_rollouts.fleet.duty_holders import DutyHolder
 from sequoia_rollouts.fleet.ownership import OwnedDuty, OwnershipTable
 from sequoia_rollouts.targets.senders import Sender
-from sequoia_rollouts.storage.stores import Committer
+from sequoia_rollouts.storage.stores import Committer, Store
 
 POLL_INTERVAL = timedelta(milliseconds=50)
 RETRY_BACKOFF = timedelta(milliseconds=300)
@@ -111,7 +111,7 @@
     directory: Directory
     sender: Sender
     ownership: OwnershipTable
-    committer: Committer
+    store: Store
     order_lease: timedelta
     managers: dict[str, WeightManager] = field(factory=dict)
 
@@ -147,7 +147,7 @@
                 DutyHolder(
                     self.clock,
                     self.ownership,
-                    self.committer,
+                    Committer(self.store, self.clock),
                     f'weights/{service.name}',
                     self.order_lease,
                 ),
@@ -155,7 +155,7 @@
                     self.clock,
                     self.directory,
                     self.sender,
-                    self.committer.store,
+                    self.store,
                 ),
                 LoadPlanner(
                     self.clock, self.directory, self.ownership, service
