Detect a path to targets that accepts connections and loses all bytes

A target that accepted the connection of a probe and sent nothing was taken for one without a slot for its health, which cleared the path.

Silence is evidence of its own now. Two silent targets make the path suspected; a peer that reaches the silent targets makes it cut, so that targets at capacity are not taken for a cut. Only a response to a request that was sent after the suspicion began clears it. On a suspected path a request that must not run twice goes to a peer before any byte is sent to a target, and a hedge waits for the probes: it used up the second attempt of requests that a peer could have served.

--- a/packages/policy/sequoia_policy/target_failures.py
+++ b/packages/policy/sequoia_policy/target_failures.py
@@ -11,9 +11,7 @@
 OWN_FAILURES = frozenset((Code.TARGET_LIMITED, Code.DRAINING))
 
 # The target, or the path to it, may be down.
-NO_RESPONSE = frozenset(
-    (Code.CONNECT_FAILED, Code.TARGET_BROKE, Code.TARGET_STALLED)
-)
+BROKEN_OFF = frozenset((Code.CONNECT_FAILED, Code.TARGET_BROKE))
 
 
 def record_target_failure(
@@ -32,8 +30,10 @@
         now: Current time.
         refusal_backoff: For how long to send no new work after a refusal.
     """
-    if failure.code in NO_RESPONSE:
-        registry.path.record_failure(target.name)
+    if failure.code in BROKEN_OFF:
+        registry.path.record_failure(target.name, now)
+    elif failure.code is Code.TARGET_STALLED:
+        registry.path.record_silence(target.name, now)
     if failure.code is Code.MISPLACED:
         registry.remove(target.name, now, NO_GRACE)
     elif failure.code is Code.CONNECT_FAILED:
--- a/packages/rollouts/sequoia_rollouts/live/handoffs.py
+++ b/packages/rollouts/sequoia_rollouts/live/handoffs.py
@@ -9,10 +9,10 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
-import curio
-from attrs import define, evolve, frozen
+from attrs import define, evolve, field, frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.peer_choices import PeerChoice
 from sequoia_policy.target_paths import TargetPath
 from sequoia_policy.verdicts import Verdict
 from sequoia_wire.clients import HttpClient, Timeouts
@@ -39,6 +39,11 @@
     LiveRequest,
 )
 from sequoia_rollouts.fleet.peer_keys import KeyRing
+from sequoia_rollouts.live.path_checks import (
+    QUERY_PATH,
+    PathCheck,
+    PathReporter,
+)
 from sequoia_rollouts.targets.senders import OutgoingRequest
 
 PATH = '/live'
@@ -47,15 +52,12 @@
 UNAVAILABLE = 503
 CONNECT_TIMEOUT = timedelta(milliseconds=300)
 MAX_PEERS = 3
-PROBE_INTERVAL = timedelta(milliseconds=200)
 
 log = Log('live')
 REQUEST_HANDED_ON = log.event(
     'request handed on', 'request_id', 'peer', 'result', kind=LogKind.FAILURE
 )
 HANDOFF_IGNORED = log.event('handoff ignored', 'detail', kind=LogKind.FAILURE)
-TARGETS_LOST = log.event('targets lost', 'targets', kind=LogKind.FAILURE)
-TARGETS_REACHED = log.event('targets reached again')
 
 Respond = Callable[[LiveRequest], Awaitable[Response]]
 
@@ -105,6 +107,8 @@
     Attributes:
         path: Whether this host reaches any target.
         client: Sends to other hosts; a stop of this host aborts its calls.
+        path_check: Finds out whether this host reaches targets.
+        peer_choice: Which peers did not serve requests recently.
     """
 
     clock: Clock
@@ -114,13 +118,19 @@
     key_ring: KeyRing
     rng: random.Random
     client: HttpClient
-
-    async def run_probes(self) -> None:
-        """Ask targets after one has not responded, until cancelled."""
-        while True:
-            await curio.sleep(PROBE_INTERVAL.total_seconds())
-            if self.path.failed:
-                await self._ask_targets()
+    path_check: PathCheck = field(init=False)
+    peer_choice: PeerChoice = field(factory=PeerChoice)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the check of the path with the same peers."""
+        self.path_check = PathCheck(
+            self.clock,
+            self.path,
+            self.crash_check,
+            self.key_ring,
+            self._list_peers,
+            HttpClient(),
+        )
 
     async def send(self, attempts: LiveAttempts) -> Response:
         """Return the response that another host has got.
@@ -135,17 +145,13 @@
             verdict=Verdict.NOT_RUN,
             retry_after=RETRY_AFTER,
         )
-        for address in self._list_peers():
+        for address in self._list_peers(MAX_PEERS):
             try:
-                response = await self._send(address, attempts)
+                return await self._send_and_record(address, attempts)
             except ServiceError as error:
-                self._log(attempts, address, str(error))
                 failure = error
                 if error.verdict is not Verdict.NOT_RUN:
                     break
-            else:
-                self._log(attempts, address, str(response.status))
-                return response
         attempts.merge_verdict(failure)
         raise ServiceError(
             failure.code,
@@ -154,7 +160,7 @@
             retry_after=failure.retry_after,
         )
 
-    def _list_peers(self) -> list[Address]:
+    def _list_peers(self, count: int) -> list[Address]:
         heartbeats = self.heartbeats
         peers = [
             lease.heartbeat.address
@@ -164,9 +170,25 @@
             and lease.heartbeat.owner != heartbeats.owner
             and not heartbeats.is_dead(lease.heartbeat.owner)
         ]
-        chosen = self.rng.sample(peers, min(MAX_PEERS, len(peers)))
+        chosen = self.peer_choice.choose(
+            peers, count, self.clock.elapsed(), self.rng
+        )
         return [parse_address(address) for address in chosen]
 
+    async def _send_and_record(
+        self, address: Address, attempts: LiveAttempts
+    ) -> Response:
+        try:
+            response = await self._send(address, attempts)
+        except ServiceError as error:
+            self._log(attempts, address, str(error))
+            now = self.clock.elapsed()
+            self.peer_choice.record_failure(str(address), now)
+            raise
+        self._log(attempts, address, str(response.status))
+        self.peer_choice.record_success(str(address))
+        return response
+
     async def _send(self, address: Address, attempts: LiveAttempts) -> Response:
         request = attempts.request
         time_left = attempts.deadline - self.clock.elapsed()
@@ -215,16 +237,6 @@
         except ServiceError as failure:
             raise ServiceError(Code.WRONG_ANSWER, failure.detail) from failure
 
-    async def _ask_targets(self) -> None:
-        """Ask a few targets whether this host reaches them."""
-        was_cut = self.path.is_cut
-        for target in self.crash_check.choose_targets():
-            await self.crash_check.ask(target)
-        if self.path.is_cut and not was_cut:
-            TARGETS_LOST.write(targets=sorted(self.path.failed))
-        elif was_cut and not self.path.is_cut:
-            TARGETS_REACHED.write()
-
     def _log(self, attempts: LiveAttempts, peer: Address, found: str) -> None:
         REQUEST_HANDED_ON.write(
             request_id=attempts.request.outgoing.id,
@@ -249,6 +261,7 @@
 
     Attributes:
         respond: Serves a live request.
+        reporter: Tells other hosts which targets this host reaches.
         others: Handles the other messages of hosts.
     """
 
@@ -256,10 +269,14 @@
     path: TargetPath
     key_ring: KeyRing
     respond: Respond
+    reporter: PathReporter
     others: Callable[[Exchange], Awaitable[None]]
 
     async def handle(self, exchange: Exchange) -> None:
         """Respond to one message of a host."""
+        if exchange.head.path == QUERY_PATH:
+            await self.reporter.handle(exchange)
+            return
         if exchange.head.path != PATH:
             await self.others(exchange)
             return
--- a/packages/rollouts/sequoia_rollouts/live/hedges.py
+++ b/packages/rollouts/sequoia_rollouts/live/hedges.py
@@ -26,6 +26,7 @@
 MIN_ERROR_STATUS = 500
 HEDGE_OBJECTIVE_SHARE = 0.6  # of the route's objective until a hedge is sent
 POLL_INTERVAL = timedelta(milliseconds=50)
+DUE_POLL_INTERVAL = timedelta(milliseconds=10)  # while a hedge is held back
 MAX_CUT_OFF_OBJECTIVES = 2.0  # route objectives until a cut-off host gives up
 HEDGE_DURATION_FACTOR = 2.5  # times the mean duration until a hedge is sent
 SMOOTHING = 0.1  # weight of the newest duration
@@ -82,6 +83,11 @@
     sent_at: timedelta = timedelta()
     running: dict[curio.Task, RegisteredTarget] = field(factory=dict)
 
+    @property
+    def due_at(self) -> timedelta:
+        """When a hedge is due."""
+        return self.sent_at + self.hedge_delay
+
     @property
     def can_hedge(self) -> bool:
         """Whether one attempt is in flight and a hedge is allowed."""
@@ -177,7 +183,8 @@
         task = None
         timeout = POLL_INTERVAL
         if hedged.can_hedge:
-            timeout = hedged.sent_at + hedged.hedge_delay - self.clock.elapsed()
+            time_left = hedged.due_at - self.clock.elapsed()
+            timeout = max(DUE_POLL_INTERVAL, time_left)
         async with curio.ignore_after(max(0, timeout.total_seconds())):
             task = await hedged.group.next_done()
         return task
@@ -203,11 +210,15 @@
     async def _send_hedge(self, hedged: HedgedRequest) -> None:
         """Send a hedge if it is due and the retry budget allows it."""
         now = self.clock.elapsed()
-        if not hedged.can_hedge or now < hedged.sent_at + hedged.hedge_delay:
+        if not hedged.can_hedge or now < hedged.due_at:
             return
-        hedged.sent_at = now
         first = next(iter(hedged.running.values()))
+        path = self.targets.directory.registry.path
+        is_delayed = path.delays_hedge(hedged.sent_at, hedged.due_at, now)
         self.targets.record_silence(first)
+        if is_delayed:
+            return
+        hedged.sent_at = now
         second = self.targets.choose_hedge_target(hedged.attempts, first)
         if second is None or not self.retries.budget.try_acquire():
             return
--- a/packages/rollouts/sequoia_rollouts/live/live_paths.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_paths.py
@@ -33,6 +33,7 @@
 from sequoia_rollouts.live.live_targets import LiveTargets
 from sequoia_rollouts.fleet.ownership import OwnershipTable
 from sequoia_rollouts.fleet.peer_keys import KeyRing
+from sequoia_rollouts.live.path_checks import PathReporter
 from sequoia_rollouts.live.quarantines import Quarantine
 from sequoia_rollouts.targets.senders import (
     MIN_UNSUCCESSFUL_STATUS,
@@ -139,7 +140,7 @@
         return (
             *self.quarantine.loops,
             *self.releases.splits.loops,
-            self.handoffs.run_probes,
+            self.handoffs.path_check.run,
         )
 
     def make_handoff_server(
@@ -155,6 +156,7 @@
             self.handoffs.path,
             self.key_ring,
             self.respond,
+            PathReporter(self.handoffs.crash_check, self.key_ring),
             others,
         )
 
@@ -188,6 +190,7 @@
         """
         attempts = self._start_attempts(request)
         await self.quarantine.check(request)
+        self.retries.check_path(attempts)
         with self.stop_guard.record(attempts):
             response = await self._respond(attempts)
         self._log_response(attempts, response)
@@ -233,13 +236,21 @@
 
     async def _respond(self, attempts: LiveAttempts) -> Response:
         """Return the response of a target that this host or a peer reaches."""
-        if not self.retries.may_hand_on(attempts):
+        if self.retries.may_hand_on(attempts):
             try:
-                return await self._try_until_answered(attempts)
+                return await self._hand_on(attempts)
             except ServiceError as failure:
-                attempts.merge_verdict(failure)
-                if not self.retries.may_hand_on(attempts):
+                if not self.retries.may_send_despite_doubt(attempts, failure):
                     raise
+        try:
+            return await self._try_until_answered(attempts)
+        except ServiceError as failure:
+            attempts.merge_verdict(failure)
+            if not self.retries.may_hand_on(attempts):
+                raise
+        return await self._hand_on(attempts)
+
+    async def _hand_on(self, attempts: LiveAttempts) -> Response:
         self.stop_guard.check_send(attempts)
         return await self.handoffs.send(attempts)
 
--- a/packages/rollouts/sequoia_rollouts/live/live_retries.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_retries.py
@@ -68,11 +68,47 @@
             return False
         facts = attempts.make_facts(self.clock.elapsed())
         has_attempts_left = facts.attempts < facts.max_attempts
-        path = self.targets.directory.registry.path
-        if not path.is_cut or not self._has_peers():
+        if not self._avoids_path(attempts) or not self._has_peers():
             return False
         return facts.is_safe and has_attempts_left
 
+    def may_send_despite_doubt(
+        self, attempts: LiveAttempts, failure: ServiceError
+    ) -> bool:
+        """Return whether to use a suspected path after no peer took a request.
+
+        If peers do not reach targets either, and nothing but silence speaks
+        against the path, the targets are more likely at capacity.
+        """
+        if failure.code is Code.DRAINING:
+            return False
+        path = self.targets.directory.registry.path
+        return failure.verdict is Verdict.NOT_RUN and not path.is_cut
+
+    def check_path(self, attempts: LiveAttempts) -> None:
+        """Check that a request that another host handed on may be sent.
+
+        Raises:
+            ServiceError: If the path to targets is in doubt here too.
+        """
+        if attempts.request.is_handed_on and self._avoids_path(attempts):
+            raise ServiceError(
+                Code.NO_TARGET,
+                'this host may be cut off too',
+                verdict=Verdict.NOT_RUN,
+                retry_after=RETRY_AFTER,
+            )
+
+    def _avoids_path(self, attempts: LiveAttempts) -> bool:
+        """Return whether a request should not be sent to targets from here.
+
+        A request that must not run twice is not risked on a suspected path.
+        """
+        path = self.targets.directory.registry.path
+        if attempts.route.may_repeat:
+            return path.is_cut
+        return path.is_suspected
+
     def _has_peers(self) -> bool:
         """Return whether another coordinator is alive."""
         heartbeats = self.quarantine.heartbeats
--- a/packages/rollouts/sequoia_rollouts/live/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_targets.py
@@ -116,7 +116,8 @@
 
     def record_silence(self, target: RegisteredTarget) -> None:
         """Record that a target has not responded for longer than usual."""
-        self.directory.registry.path.record_failure(target.name)
+        now = self.clock.elapsed()
+        self.directory.registry.path.record_silence(target.name, now)
 
     async def back_off(
         self, attempts: LiveAttempts, failure: ServiceError
--- a/packages/rollouts/sequoia_rollouts/targets/crash_checks.py
+++ b/packages/rollouts/sequoia_rollouts/targets/crash_checks.py
@@ -36,11 +36,14 @@
     Attributes:
         ALIVE: The process that was asked runs.
         REPLACED: Another process has its address.
+        ACCEPTED: It accepted the connection and sent no byte in time: it has no
+            slot for its health, or the path loses all bytes.
         SILENT: Nothing, or its connection broke off.
     """
 
     ALIVE = 'alive'
     REPLACED = 'replaced'
+    ACCEPTED = 'accepted'
     SILENT = 'silent'
 
 
@@ -91,13 +94,21 @@
         found = await self._send(target, self._prepare(target))
         self._forget(now)
         self.asked[target.name] = (now, found)
+        self._record(target, found, now)
+        TARGET_ASKED.write(target=target.name, found=found.value)
+        return found
+
+    def _record(
+        self, target: RegisteredTarget, found: Found, sent_at: timedelta
+    ) -> None:
         path = self.directory.registry.path
+        now = self.clock.elapsed()
         if found is Found.SILENT:
-            path.record_failure(target.name)
+            path.record_failure(target.name, now)
+        elif found is Found.ACCEPTED:
+            path.record_accepted(target.name, now)
         else:
-            path.record_response()
-        TARGET_ASKED.write(target=target.name, found=found.value)
-        return found
+            path.record_response(sent_at, now)
 
     def _prepare(self, target: RegisteredTarget) -> PreparedCall:
         """Return a request that needs no slot at an engine."""
@@ -122,7 +133,7 @@
             except ServiceError as failure:
                 if failure.code is not Code.TARGET_STALLED or not call.sent:
                     return Found.SILENT
-                return Found.ALIVE  # it has no slot for its health
+                return Found.ACCEPTED
         if head.status == MISDIRECTED_STATUS:
             return Found.REPLACED
         return Found.ALIVE
--- a/packages/rollouts/sequoia_rollouts/targets/senders.py
+++ b/packages/rollouts/sequoia_rollouts/targets/senders.py
@@ -201,8 +201,7 @@
             (*kept, *added),
         )
         sent_at = self.clock.elapsed()
-        response = await call.send(head, outgoing.body, outgoing.id)
-        self.path.record_response()
+        response = await self._send(call, head, outgoing)
         received = self.dialect.read_labels(response)
         if received.request_id and received.request_id != outgoing.id:
             raise ServiceError(Code.WRONG_ANSWER, 'response to another request')
@@ -230,6 +229,18 @@
         if labels.leaving and is_own:
             self.record_leaving(target)
 
+    async def _send(
+        self, call: Call, head: RequestHead, outgoing: OutgoingRequest
+    ) -> ResponseHead:
+        """Send a request, and record whether the path brings a response."""
+        wait = self.path.start_wait(self.clock.elapsed())
+        try:
+            response = await call.send(head, outgoing.body, outgoing.id)
+        finally:
+            self.path.end_wait(wait)
+        self.path.record_response(wait.sent_at, self.clock.elapsed())
+        return response
+
     async def _record_limit(
         self,
         target: RegisteredTarget,
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -136,7 +136,7 @@
         elif path == '/v1/report':
             await exchange.respond(200, orjson.dumps(self.report()))
         elif path == '/health':
-            await curio.sleep(self.health_delay)
+            await self.wait_for_health()
             await exchange.respond(
                 200, headers=encode_headers({'instance-id': self.name})
             )
@@ -155,6 +155,9 @@
             )
             await self.serve(exchange)
 
+    async def wait_for_health(self):
+        await curio.sleep(self.health_delay)
+
     def report(self):
         return {
             'models': self.entry()['models'],
@@ -280,6 +283,7 @@
         refuses_second: Whether the server refuses requests if another server
             received the first one.
         received_first: Whether this server received the first request.
+        health_takes_slot: Whether the health waits for a slot as requests do.
         free_slots: Semaphore with one permit per slot.
     """
 
@@ -289,6 +293,7 @@
     site_servers: list = field(factory=list)
     refuses_second: bool = False
     received_first: bool = False
+    health_takes_slot: bool = False
     free_slots: curio.Semaphore = field(init=False)
 
     def __attrs_post_init__(self):
@@ -324,6 +329,12 @@
             status, b'done', self.make_label_headers(request_id)
         )
 
+    async def wait_for_health(self):
+        await super().wait_for_health()
+        if self.health_takes_slot:
+            async with self.free_slots:
+                return
+
     async def work(self, exchange):
         """Wait for the delay; abort if the sender disconnects first."""
         delay = self.delay
--- a/packages/rollouts/tests/relays.py
+++ b/packages/rollouts/tests/relays.py
@@ -89,3 +89,58 @@
         return await sock.recv(CHUNK)
     except OSError:
         return b''
+
+
+@define(eq=False)
+class PathRelay:
+    """Relays connections to one target, and loses the bytes of some hosts.
+
+    Hosts are told apart by the address that they connect from.
+
+    Attributes:
+        lost: Addresses of the hosts that are cut off; shared by the relays of a
+            site. Connections of these hosts are accepted, open ones stay open,
+            and bytes of either direction are discarded.
+        keeps_open: Whether connections that were open before still work.
+    """
+
+    upstream: Address
+    lost: set
+    keeps_open: bool = False
+    listener: object = None
+    address: Address | None = None
+
+    def open(self, host):
+        self.listener = curio.network.tcp_server_socket(host, 0)
+        self.address = Address(*self.listener.getsockname())
+
+    async def run(self):
+        async with self.listener, curio.TaskGroup(wait=None) as group:
+            while True:
+                client, peer = await self.listener.accept()
+                await group.spawn(self.relay, client, peer[0])
+
+    async def relay(self, client, host):
+        async with client:
+            if host in self.lost:
+                await discard(client)
+                return
+            server = await curio.open_connection(
+                self.upstream.host, self.upstream.port
+            )
+            async with server, curio.TaskGroup(wait=any) as group:
+                await group.spawn(self.copy, client, server, host)
+                await group.spawn(self.copy, server, client, host)
+
+    async def copy(self, source, destination, host):
+        chunk = await receive(source)
+        while chunk:
+            if self.keeps_open or host not in self.lost:
+                await destination.sendall(chunk)
+            chunk = await receive(source)
+
+
+async def discard(sock):
+    chunk = await receive(sock)
+    while chunk:
+        chunk = await receive(sock)
