Release submissions and duties while the path to targets is cut

Items, reward calls and orders of a host without targets waited until the cut ended. Once the path has not been suspected for 1 s it may own work again. A suspicion alone, which targets at capacity raise too, releases nothing, and so does a host without another live coordinator.

The four tests of test_path_releases.py fail without the loop and pass with it.

--- a/packages/rollouts/sequoia_rollouts/fleet/coordination.py
+++ b/packages/rollouts/sequoia_rollouts/fleet/coordination.py
@@ -94,6 +94,11 @@
         self.lease_keeper.capacity = settings.capacity
 
     def start_draining(self) -> None:
-        """Let the next heartbeat say that this host is shutting down."""
+        """Let the next heartbeat say that this host gives up its work."""
         own = self.heartbeats.own
         own.heartbeat = evolve(own.heartbeat, draining=True)
+
+    def stop_draining(self) -> None:
+        """Let the next heartbeat say that this host may own work again."""
+        own = self.heartbeats.own
+        own.heartbeat = evolve(own.heartbeat, draining=False)
--- a/packages/rollouts/sequoia_rollouts/process/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -26,6 +26,7 @@
 )
 from sequoia_rollouts.base.settings import HostSettings
 from sequoia_rollouts.process.fronts import make_server_limits
+from sequoia_rollouts.process.path_releases import PathRelease
 from sequoia_rollouts.process.platforms import Platform
 from sequoia_rollouts.process.shutdowns import Shutdown
 from sequoia_rollouts.process.status import StatusServers
@@ -68,6 +69,7 @@
     front: HttpServer = field(init=False)
     publisher: RegistrationPublisher = field(init=False)
     sweeper: Sweeper = field(init=False)
+    path_release: PathRelease = field(init=False)
     status: StatusServers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -139,6 +141,15 @@
             store, self.clock, self.heartbeats, self.directory
         )
         self.sweeper = Sweeper(store, self.clock, self.ownership)
+        self.path_release = PathRelease(
+            self.clock,
+            self.directory.registry.path,
+            self.coordination,
+            self.ownership,
+            self.submission_handler,
+            self.weights,
+            lambda: self.draining,
+        )
         self.status = StatusServers(self)
 
     @property
@@ -202,6 +213,7 @@
             *self.live.loops,
             self.weights.run,
             self.sweeper.run,
+            self.path_release.run,
             self.reloader.run,
             self.run_log_flushes,
         ):
--- /dev/null
+++ b/packages/rollouts/tests/test_path_releases.py
@@ -0,0 +1,94 @@
+"""Submissions and duties of a host that reaches no target."""
+
+import curio
+from sequoia_wire.clients import HttpClient
+from sites import open_site, wait_until
+from test_cut_off import cut
+from test_handoffs import wait_for_keys
+
+
+async def lose_targets(host):
+    """Cut a host off from all targets and let it find out."""
+    cut(host, hangs=False)
+    path = host.live.handoffs.path
+    for target in ('e0', 'e1'):
+        path.record_failure(target, host.clock.elapsed())
+    await wait_until(lambda: path.is_cut)
+
+
+def reach_targets(host):
+    sender = host.live.sender
+    sender.client = HttpClient()
+    sender.report_client = HttpClient()
+    sender.order_client = HttpClient()
+    host.live.handoffs.crash_check.client = HttpClient()
+
+
+def test_submission_of_a_host_without_targets_is_completed_by_another_one():
+    """Its items waited until the host reached targets again."""
+
+    async def main():
+        async with open_site(hosts=2, words=6, pace=0.1) as site:
+            await wait_for_keys(site)
+            await site.submit(site.hosts[0])
+            owner, other = await site.find_owner()
+            await lose_targets(owner)
+            await wait_until(lambda: other.submission_handler.runners)
+            assert not owner.submission_handler.runners
+            results = await site.read_all_results(other, seconds=12)
+            return [result['state'] for result in results]
+
+    assert curio.run(main) == ['completed'] * 6
+
+
+def test_duties_of_a_host_without_targets_go_to_another_one():
+    async def main():
+        async with open_site(hosts=2) as site:
+            await wait_for_keys(site)
+            first, second = site.hosts
+            await wait_until(lambda: first.ownership.duties)
+            name, duty = next(iter(first.ownership.duties.items()))
+            holder, other = first, second
+            if duty.owner == second.heartbeats.owner:
+                holder, other = second, first
+            await lose_targets(holder)
+            owner = other.heartbeats.owner
+            await wait_until(
+                lambda: other.ownership.duties[name].owner == owner
+            )
+
+    curio.run(main)
+
+
+def test_host_owns_work_again_once_it_reaches_targets():
+    async def main():
+        async with open_site(hosts=2) as site:
+            await wait_for_keys(site)
+            host, other = site.hosts
+            owner = host.heartbeats.owner
+            await lose_targets(host)
+            await wait_until(
+                lambda: owner not in other.heartbeats.live_owners()
+            )
+            reach_targets(host)
+            await wait_until(lambda: owner in other.heartbeats.live_owners())
+            assert owner in host.heartbeats.live_owners()
+
+    curio.run(main)
+
+
+def test_submission_stays_if_no_other_host_is_alive():
+    async def main():
+        async with open_site(hosts=1, words=6, pace=0.1) as site:
+            (host,) = site.hosts
+            await site.submit(host)
+            await wait_until(lambda: host.submission_handler.runners)
+            await lose_targets(host)
+            await wait_until(lambda: host.path_release.release.is_released)
+            await curio.sleep(0.5)
+            runners = len(host.submission_handler.runners)
+            reach_targets(host)
+            results = await site.read_all_results(host, seconds=12)
+            return runners, [result['state'] for result in results]
+
+    assert curio.run(main) == (1, ['completed'] * 6)
