Open connections to IP addresses without a resolver thread

test_no_request_gets_the_response_to_another_one failed under load: a connect took longer than its 0.2 s. The tracebacks end in getaddrinfo, which curio runs in a thread for any host, also for an address; on a busy processor the start of the thread takes longer than the timeout. Hosts only connect to addresses, except perhaps to the store, so live requests failed for the same reason.

Addresses are connected to directly now; names are resolved as before.

--- a/packages/rollouts/tests/bound_start.py
+++ b/packages/rollouts/tests/bound_start.py
@@ -8,17 +8,23 @@
 import runpy
 from pathlib import Path
 
-import curio
+START = str(Path(__file__).parents[3] / 'platform' / 'start.py')
 
-START = Path(__file__).parents[3] / 'platform' / 'start.py'
-open_connection = curio.open_connection
 
+def bind_sockets():
+    from sequoia_wire import sockets  # noqa: PLC0415
 
-async def open_bound_connection(host, port):
-    source = (os.environ['SOURCE_IP'], 0)
-    return await open_connection(host, port, source_addr=source)
+    make_socket = sockets.make_socket
+
+    def make_bound_socket():
+        sock = make_socket()
+        sock.bind((os.environ['SOURCE_IP'], 0))
+        return sock
+
+    sockets.make_socket = make_bound_socket
 
 
 if __name__ == '__main__':
-    curio.open_connection = open_bound_connection
-    runpy.run_path(str(START), run_name='__main__')
+    runpy.run_path(START)['add_packages']()
+    bind_sockets()
+    runpy.run_path(START, run_name='__main__')
--- a/packages/wire/sequoia_wire/sockets.py
+++ b/packages/wire/sequoia_wire/sockets.py
@@ -25,11 +25,46 @@
     Raises:
         OSError: If the connection cannot be established.
     """
-    sock = await curio.open_connection(host, port)
+    if is_ip_address(host):
+        sock = await open_connection(host, port)
+    else:
+        sock = await curio.open_connection(host, port)
     disable_nagle(sock)
     return sock
 
 
+def is_ip_address(host: str) -> bool:
+    """Return whether a host is an IPv4 address, which needs no resolution."""
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        return False
+    return True
+
+
+async def open_connection(host: str, port: int) -> curio.io.Socket:
+    """Open a TCP connection to an IPv4 address.
+
+    Curio resolves any host in a thread. On a busy processor the start of the
+    thread alone may take longer than the timeout of a connect.
+
+    Raises:
+        OSError: If the connection cannot be established.
+    """
+    sock = make_socket()
+    try:
+        await sock.connect((host, port))
+    except (OSError, curio.CancelledError):
+        await sock.close()
+        raise
+    return sock
+
+
+def make_socket() -> curio.io.Socket:
+    """Return a new TCP socket."""
+    return curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+
+
 def shut_down_socket(sock: curio.io.Socket) -> None:
     """End a connection; a task that waits for its data sees the end of it."""
     with suppress(OSError):  # it may have ended already
