Let the store stand-in end a feed call after the time that was asked for

test_hosts_read_registrations_if_nobody_publishes timed out under load. The stand-in counted 5 ms for each of its sleeps, however long they took, so that a call on a quiet table outlasted the client's timeout.

The stand-in goes by the clock now.

--- a/packages/rollouts/tests/store_standin.py
+++ b/packages/rollouts/tests/store_standin.py
@@ -199,7 +199,9 @@
         after = int(query['after'])
         if after < self.history_start:
             return 410, {}
-        waited = 0.0
+        # A call must not last longer than its caller asked for when sleeps take
+        # longer than they should: the hosts then count it as a failure.
+        over = time.monotonic() + int(query['waitMs']) / 1000
         while not self.down:
             found = {
                 name: self.encode_change(version, name, value)
@@ -208,10 +210,9 @@
             }
             if found:
                 return 200, {'rows': list(found.values())}
-            if waited >= int(query['waitMs']) / 1000:
+            if time.monotonic() >= over:
                 break
             await curio.sleep(FEED_POLL_INTERVAL)
-            waited += FEED_POLL_INTERVAL
             if after < self.history_start:
                 return 410, {}
         return 200, {'rows': []}
