--- a/packages/rollouts/sequoia_rollouts/process/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -33,7 +33,7 @@
 from sequoia_rollouts.process.status import StatusServers
 from sequoia_rollouts.submissions.submission_handlers import SubmissionHandler
 from sequoia_rollouts.base.supervisors import filter_loop_log, supervise
-from sequoia_rollouts.process.sweepers import Sweeper
+from sequoia_rollouts.process.upkeep import Upkeep, build_upkeep
 from sequoia_rollouts.weights.weight_managers import WeightManagers
 
 FLUSH_INTERVAL = timedelta(milliseconds=100)
@@ -70,7 +70,7 @@
     memory: Memory = field(init=False)
     front: HttpServer = field(init=False)
     publisher: RegistrationPublisher = field(init=False)
-    sweeper: Sweeper = field(init=False)
+    upkeep: Upkeep = field(init=False)
     status: StatusServers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -147,7 +147,7 @@
         self.publisher = RegistrationPublisher(
             store, self.clock, self.heartbeats, self.directory
         )
-        self.sweeper = Sweeper(store, self.clock, self.ownership)
+        self.upkeep = build_upkeep(self)
         self.status = StatusServers(self)
 
     @property
@@ -214,7 +214,7 @@
             *self.live.loops,
             self.weights.run,
             *self.duties.loops,
-            self.sweeper.run,
+            *self.upkeep.loops,
             self.reloader.run,
             self.run_log_flushes,
         ):
--- a/packages/rollouts/tests/test_events.py
+++ b/packages/rollouts/tests/test_events.py
@@ -17,7 +17,7 @@
 def list_events():
     """Return the expected rows of the page."""
     for folder in FOLDERS:
-        for source in sorted(folder.glob('*.py')):
+        for source in sorted(folder.rglob('*.py')):
             importlib.import_module(f'{folder.name}.{source.stem}')
     return {
         describe(event)
@@ -39,7 +39,7 @@
 
 def test_every_written_event_has_the_declared_fields():
     for folder in FOLDERS:
-        for source in folder.glob('*.py'):
+        for source in folder.rglob('*.py'):
             check_calls(source)
 
 
