--- a/packages/policy/sequoia_policy/usage_windows.py
+++ b/packages/policy/sequoia_policy/usage_windows.py
@@ -57,6 +57,15 @@
         interval = self.length / WRITES_PER_WINDOW
         return interval * (now // interval + 1) + self.spread * share
 
+    def is_writable(self, window: int, now: timedelta) -> bool:
+        """Return whether the counts of a window are to be written.
+
+        Those of its first half are, so that a host that dies does not lose
+        more. A host that writes late after the window before leaves them out.
+        """
+        half = self.length / WRITES_PER_WINDOW
+        return now >= self.ends_at(window) - self.length + half
+
     def collects_at(self, window: int) -> timedelta:
         """Return when hosts have written the counts of a window.
 
--- a/packages/policy/tests/test_usage.py
+++ b/packages/policy/tests/test_usage.py
@@ -82,6 +82,21 @@
     assert time < next_write <= time + TIMING.length / 2 + TIMING.spread
 
 
+@given(time=times, share=st.floats(0, 0.999))
+def test_a_window_is_written_after_its_first_half_and_after_its_end(
+    time, share
+):
+    """Late writes after one window wrote the next one a third time."""
+    window = TIMING.find_window(time)
+    begins_at = TIMING.ends_at(window - 1)
+    writes = []
+    now = begins_at
+    for _ in range(4):
+        writes.append(TIMING.is_writable(window, now + TIMING.spread * share))
+        now += TIMING.length / 2
+    assert writes == [False, True, True, True]
+
+
 @given(time=times)
 def test_the_oldest_window_is_the_first_that_has_not_expired(time):
     oldest = TIMING.find_oldest(time)
--- a/packages/rollouts/sequoia_rollouts/usage/writers.py
+++ b/packages/rollouts/sequoia_rollouts/usage/writers.py
@@ -1,7 +1,7 @@
 """Writes what this host has counted into a row for each window."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
 import curio
@@ -79,17 +79,28 @@
 
     async def finish(self) -> None:
         """Write what is left at the stop of the host."""
-        if not await self.flush():
-            await self.flush()  # another write of the same row was under way
+        windows = self.counter.counts.list_changed
+        if not await self._write_all(windows()):
+            # Another write of the same row was under way.
+            await self._write_all(windows())
 
     async def flush(self) -> bool:
-        """Write the counts that are not stored; return whether all are."""
+        """Write the counts that are due; return whether all are stored."""
         self._forget_expired()
+        now = self.counter.true_clock.now()
+        return await self._write_all(
+            window
+            for window in self.counter.counts.list_changed()
+            if self.timing.is_writable(window, now)
+        )
+
+    async def _write_all(self, windows: Iterable[int]) -> bool:
         counts = self.counter.counts
-        for window in counts.list_changed():
-            snapshot = dict(counts.windows[window])
+        are_stored = True
+        for window in windows:
+            snapshot = dict(counts.windows.get(window, {}))
             try:
-                await self._write(window, snapshot)
+                are_stored &= await self._write(window, snapshot)
             except ServiceError as failure:
                 COUNTS_NOT_WRITTEN.write(
                     window=window,
@@ -97,7 +108,7 @@
                     detail=failure.detail,
                 )
                 return False
-        return not counts.list_changed()
+        return are_stored
 
     def _forget_expired(self) -> None:
         """Forget windows that are not reported any more."""
@@ -130,8 +141,8 @@
         self.counter.counts.forget(window)
         self.versions.pop(window, None)
 
-    async def _write(self, window: int, counts: Mapping[str, int]) -> None:
-        """Replace the row of a window.
+    async def _write(self, window: int, counts: Mapping[str, int]) -> bool:
+        """Replace the row of a window; return whether that took effect.
 
         Its version is guarded, as an earlier write without a response may still
         be carried out.
@@ -143,6 +154,7 @@
             version = await self.store.commit(Transaction((write,), (guard,)))
         except ConflictError as conflict:
             self._apply_conflict(window, conflict.find(key))
-            return
+            return False
         self.versions[window] = version
         self.counter.counts.record_stored(window, counts)
+        return True
--- a/packages/rollouts/tests/test_usage.py
+++ b/packages/rollouts/tests/test_usage.py
@@ -9,10 +9,11 @@
 from api_standin import ApiStandin
 from sequoia_platform.apis import PlatformHttpApi
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.verdicts import Verdict
 from sequoia_rollouts.base.settings import DutySettings
-from sequoia_rollouts.storage.stores import ConflictError
+from sequoia_rollouts.storage.stores import Committer, ConflictError
 from sequoia_rollouts.usage.reporters import KEPT_REPORTS
-from sequoia_rollouts.usage.usage_rows import counts_key
+from sequoia_rollouts.usage.usage_rows import REPORTS, counts_key
 from sites import make_lot, open_site, wait_until
 from test_accounts import LARGE, SMALL, configure, make_accounts
 from test_handoffs import cut_first
@@ -286,6 +287,54 @@
     assert waited >= 1
 
 
+def test_a_holder_that_does_not_reach_the_api_leaves_the_duty_to_others():
+    """No host reported until the holder ended."""
+
+    async def main():
+        async with open_usage_site(hosts=2) as (site, api):
+            await activate(site, 'small')
+            await wait_until(lambda: api.accepted)
+            first = api.calls[-1].holder
+            holder = next(
+                host for host in site.hosts if host.settings.name == first
+            )
+            holder.duties.usage.reporter.api = UnreachableApi()
+            await wait_until(lambda: api.calls[-1].holder != first, 8)
+            return first, holder.duties.usage.reporter.duty.may_act_now()
+
+    _first, may_act = curio.run(main)
+    assert not may_act
+
+
+class UnreachableApi:
+    async def report_usage(self, report, permit):
+        raise ServiceError(
+            Code.TARGET_BROKE, 'no connection', verdict=Verdict.NOT_RUN
+        )
+
+
+def test_the_next_holder_reports_from_the_start_if_the_first_one_was_killed():
+    """It would begin with the window in which it started itself."""
+
+    async def main():
+        async with open_usage_site() as (site, api):
+            api.is_holding = True
+            await activate(site, 'small')
+            first = site.hosts[0]
+            await call_small(site, first)
+            await wait_until(lambda: site.store.find('usage'))
+            window = min(first.live.usage.counts.windows)
+            await site.kill(first)
+            await site.start_host('h2')
+            api.is_holding = False
+            await wait_until(lambda: api.accepted, 10)
+            return window, check_reports(api)
+
+    window, reports = curio.run(main)
+    assert min(reports) <= window
+    assert reports[window] == [{'small': 1}]
+
+
 def test_counts_are_kept_while_the_store_is_away():
     async def main():
         async with open_usage_site() as (site, api):
@@ -304,21 +353,63 @@
     assert curio.run(main) == [200] * 5
 
 
-def test_a_lost_response_to_the_row_of_a_report_changes_no_report():
-    """The host would sum again and send what the row does not contain."""
+class LosingStore:
+    """A store that loses the responses to writes of reports.
+
+    Attributes:
+        to_lose: Number of further writes without a response.
+        is_executing: Whether the next write is carried out nevertheless.
+        on_loss: Called after each loss.
+    """
+
+    def __init__(self, store, on_loss):
+        self.store = store
+        self.to_lose = 0
+        self.is_executing = False
+        self.on_loss = on_loss
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def commit(self, transaction):
+        is_report = transaction.writes[0].key.table == REPORTS
+        if not self.to_lose or not is_report:
+            return await self.store.commit(transaction)
+        self.to_lose -= 1
+        if self.is_executing:
+            self.is_executing = False
+            await self.store.commit(transaction)
+        self.on_loss(transaction)
+        raise ServiceError(Code.STORE_UNAVAILABLE, 'response lost')
+
+
+@pytest.mark.parametrize('losses', [1, 3, 8])
+def test_a_lost_response_to_the_row_of_a_report_changes_no_report(losses):
+    """The host would sum again and send what the row does not contain.
+
+    With one loss the write is repeated; with 8 it is given up.
+    """
 
     async def main():
         async with open_usage_site() as (site, api):
             await activate(site, 'small')
             await wait_until(lambda: api.accepted)
-            for number in range(8):
-                site.store.responses_to_lose = 2
-                await call_small(site, site.hosts[0], request_id=f'r{number}')
-                await curio.sleep(0.4)
-            await curio.sleep(3)
-            reports = check_reports(api)
-            rows = site.store.find('usage_reports')
-            return reports, rows
+
+            def add_late_counts(transaction):
+                window = int(transaction.writes[0].key.key)
+                key = counts_key(window, f'late-{store.to_lose}')
+                site.store.put_bytes(
+                    key.table, key.key, b'{"small":1}', key.part
+                )
+
+            reporter = site.hosts[0].duties.usage.reporter
+            store = LosingStore(reporter.committer.store, add_late_counts)
+            reporter.committer = Committer(store, reporter.clock)
+            store.is_executing, store.to_lose = True, losses
+            await wait_until(lambda: not store.is_executing)
+            newest = max(api.reports())
+            await wait_until(lambda: max(api.reports()) > newest + 3, 12)
+            return check_reports(api), site.store.find(REPORTS)
 
     reports, rows = curio.run(main)
     for key, body in rows.items():
@@ -356,7 +447,8 @@
             await activate(site, 'small')
             writer = site.hosts[0].duties.usage.writer
             counts = writer.counter.counts
-            window = writer.timing.find_window(writer.counter.true_clock.now())
+            now = writer.counter.true_clock.now()
+            window = writer.timing.find_window(now) - 1
             counts.add(window, 'small')
             assert await writer.flush()
             late = writer.store.commit
