Let rows that cannot be read stop no report

A row of counts with a list in the place of a mapping ended each attempt to sum its window until it expired: the codec let AttributeError pass. An unreadable report is neither sent nor summed again, as its content may have been sent.

--- a/packages/policy/sequoia_policy/usage_reports.py
+++ b/packages/policy/sequoia_policy/usage_reports.py
@@ -109,7 +109,7 @@
 def resume_reports(
     timing: UsageTiming,
     interval: timedelta,
-    stored: Mapping[int, StoredReport],
+    stored: Mapping[int, StoredReport | None],
     first_window: int,
 ) -> ReportPlan:
     """Return the plan of a host that takes the duty over.
@@ -117,17 +117,25 @@
     Args:
         timing: Times of windows.
         interval: Minimum time between two calls.
-        stored: The stored reports by window.
+        stored: The stored reports by window; None for one that cannot be read,
+            which is neither sent nor summed again.
         first_window: First window to report if none is stored.
     """
     plan = ReportPlan(timing, interval, first_window)
     if not stored:
         return plan
-    plan.accepted = max(report.accepted for report in stored.values())
     plan.next_window = max(stored) + 1
+    readable = {
+        window: report
+        for window, report in sorted(stored.items())
+        if report is not None
+    }
+    plan.accepted = max(
+        (report.accepted for report in readable.values()), default=0
+    )
     plan.waiting = {
         window: report.counts
-        for window, report in sorted(stored.items())
+        for window, report in readable.items()
         if window > plan.accepted
     }
     return plan
--- a/packages/policy/tests/test_usage.py
+++ b/packages/policy/tests/test_usage.py
@@ -315,6 +315,15 @@
     assert plan.waiting == {101: {'a': 2}, 102: {'a': 3}}
 
 
+def test_a_report_that_cannot_be_read_is_neither_sent_nor_summed_again():
+    """Another host may have sent what it contained."""
+    plan = resume_reports(
+        TIMING, SECOND, {100: StoredReport({}, 99), 101: None}, 500
+    )
+    assert plan.next_window == 102
+    assert plan.waiting == {100: {}}
+
+
 def test_first_holder_begins_with_the_first_window():
     plan = resume_reports(TIMING, SECOND, {}, 500)
     assert plan.next_window == 500
--- a/packages/rollouts/sequoia_rollouts/usage/usage_rows.py
+++ b/packages/rollouts/sequoia_rollouts/usage/usage_rows.py
@@ -84,15 +84,22 @@
             ROW_IGNORED.write(key=row.key.key, detail=error.detail)
 
 
-def decode_reports(rows: Iterable[Row]) -> dict[int, StoredReport]:
-    """Decode reports by window.
+def decode_reports(rows: Iterable[Row]) -> dict[int, StoredReport | None]:
+    """Decode reports by window; None for one that cannot be decoded.
 
-    Raises:
-        ServiceError: If one cannot be decoded: another one must not be sent in
-            its place.
+    No other report may be sent in its place.
     """
     return {
-        int(row.key.key): decode(row.body, StoredReport)
+        int(row.key.key): decode_report(row)
         for row in rows
-        if row.body is not None
+        if row.key.key.isdecimal()
     }
+
+
+def decode_report(row: Row) -> StoredReport | None:
+    """Decode a report; return None if it cannot be decoded."""
+    try:
+        return decode(row.body or b'', StoredReport)
+    except ServiceError as error:
+        ROW_IGNORED.write(key=row.key.key, detail=error.detail)
+    return None
--- a/packages/rollouts/sequoia_rollouts/usage/writers.py
+++ b/packages/rollouts/sequoia_rollouts/usage/writers.py
@@ -30,6 +30,9 @@
 COUNTS_NOT_WRITTEN = log.event(
     'counts not written', 'window', 'requests', 'detail', kind=LogKind.FAILURE
 )
+REQUESTS_LEFT_OUT = log.event(
+    'requests left out', 'requests', kind=LogKind.FAILURE
+)
 COUNTS_LOST = log.event(
     'counts lost', 'window', 'requests', kind=LogKind.FAILURE
 )
@@ -113,6 +116,9 @@
     def _forget_expired(self) -> None:
         """Forget windows that are not reported any more."""
         counts = self.counter.counts
+        if counts.left_out:
+            REQUESTS_LEFT_OUT.write(requests=counts.left_out)
+            counts.left_out = 0
         now = self.counter.true_clock.now()
         for window in sorted(counts.windows):
             if not self.timing.has_expired(window, now):
--- a/packages/rollouts/tests/test_usage.py
+++ b/packages/rollouts/tests/test_usage.py
@@ -13,7 +13,7 @@
 from sequoia_rollouts.base.settings import DutySettings
 from sequoia_rollouts.storage.stores import Committer, ConflictError
 from sequoia_rollouts.usage.reporters import KEPT_REPORTS
-from sequoia_rollouts.usage.usage_rows import REPORTS, counts_key
+from sequoia_rollouts.usage.usage_rows import REPORTS, counts_key, report_key
 from sites import make_lot, open_site, wait_until
 from test_accounts import LARGE, SMALL, configure, make_accounts
 from test_handoffs import cut_first
@@ -500,3 +500,28 @@
 
     reports, _found = curio.run(main)
     assert reports <= KEPT_REPORTS + 1
+
+
+def test_rows_that_cannot_be_read_stop_no_report():
+    """A list in the place of counts ended each attempt to sum the window."""
+
+    async def main():
+        async with open_usage_site() as (site, api):
+            await activate(site, 'small')
+            await wait_until(lambda: api.accepted)
+            newest = max(api.reports())
+            part = report_key(newest).part
+            site.store.put_bytes(REPORTS, 'no number', b'{}', part)
+            site.store.put_bytes(REPORTS, str(newest - 1), b'junk', part)
+            for number, body in enumerate(
+                (b'junk', b'[]', b'{"small":"many"}', b'{"small":-5}', b'')
+            ):
+                key = counts_key(newest + 2, f'odd-{number}')
+                site.store.put_bytes(key.table, key.key, body, key.part)
+            site.hosts[0].duties.usage.reporter.plan = None
+            await call_small(site, site.hosts[0])
+            await wait_until(lambda: max(api.reports()) > newest + 3)
+            check_reports(api)
+            return sum_reports(api)
+
+    assert curio.run(main) == 1
--- a/packages/wire/sequoia_wire/codecs.py
+++ b/packages/wire/sequoia_wire/codecs.py
@@ -11,12 +11,13 @@
 
 Message = TypeVar('Message')
 # A number of seconds may exceed what a duration can hold, and a text may be
-# nested too deeply.
+# nested too deeply; a list in the place of a mapping has no items.
 DECODE_ERRORS = (
     ValueError,
     TypeError,
     OverflowError,
     RecursionError,
+    AttributeError,
     cattrs.BaseValidationError,
 )
 
