Bound the bytes of bodies in flight to one target, and read small bodies at once

Cause: a target crashes if the requests that it holds exceed its memory; and bodies that had arrived with their head took a second read since heads are read in smaller pieces. Change: BytesInFlight (policy) bounds large bodies in flight to one target at half of the host's budget where limits.memoryMb is set, never for a body alone; a small body that has arrived is taken without a reader; heads are read in pieces of 32 KiB.

--- a/packages/rollouts/sequoia_rollouts/live/live_streams.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_streams.py
@@ -120,10 +120,12 @@
         target: RegisteredTarget,
     ) -> Response | None:
         time_left = stream.attempts.deadline - self.clock.elapsed()
+        request = stream.attempts.request
+        size = len(request.outgoing.body)
         target.running += 1
         try:
-            async with self.sender.open(target, Urgency.LIVE) as call:
-                call.holder = stream.attempts.request.holder
+            async with self.sender.open(target, Urgency.LIVE, size) as call:
+                call.holder = request.holder
                 async with limit_call_time(call, time_left):
                     return await self._run_call(stream, target, call)
         finally:
--- a/packages/rollouts/sequoia_rollouts/process/fronts.py
+++ b/packages/rollouts/sequoia_rollouts/process/fronts.py
@@ -9,6 +9,7 @@
 
 BASELINE = 80_000_000  # bytes of a host without bodies
 MIN_BUDGET_SHARE = 0.25  # of the memory
+TARGET_SHARE = 0.5  # of the budget; the memory of targets is not known
 CONNECTION_BYTES = 160_000  # of memory for each connection of a caller
 BUFFER_BYTES = 65536
 RESERVED_FILES = 200  # descriptors that are not for sockets
@@ -17,6 +18,12 @@
 UNLIMITED = ServerLimits()
 
 
+def find_target_bytes(memory: Memory) -> int | None:
+    """Return the limit of the bytes in flight to one target."""
+    size = memory.budget.size
+    return None if size is None else round(size * TARGET_SHARE)
+
+
 def make_memory(settings: HostSettings) -> Memory:
     """Return the memory for bodies and responses."""
     memory = settings.memory
--- a/packages/rollouts/sequoia_rollouts/process/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -26,7 +26,11 @@
     build_result_reader,
 )
 from sequoia_rollouts.base.settings import HostSettings
-from sequoia_rollouts.process.fronts import make_memory, make_server_limits
+from sequoia_rollouts.process.fronts import (
+    find_target_bytes,
+    make_memory,
+    make_server_limits,
+)
 from sequoia_rollouts.process.platforms import Platform
 from sequoia_rollouts.process.shutdowns import Shutdown
 from sequoia_rollouts.process.status import StatusServers
@@ -108,6 +112,7 @@
             self.rng,
         )
         dependencies.sender.client.memory = self.memory
+        dependencies.sender.in_flight.limit = find_target_bytes(self.memory)
         self.live = LivePath(
             self.clock,
             self.directory,
--- a/packages/rollouts/sequoia_rollouts/streaming/generations.py
+++ b/packages/rollouts/sequoia_rollouts/streaming/generations.py
@@ -166,7 +166,8 @@
         """
         generation.started = generation.started or self.clock.elapsed()
         generation.waits_since = None
-        async with self.sender.open(target, Urgency.ROLLOUT) as call:
+        size = len(generation.item.body)
+        async with self.sender.open(target, Urgency.ROLLOUT, size) as call:
             call.timeouts = Timeouts(CONNECT_TIMEOUT, FIRST_EVENT_TIMEOUT)
             async with limit_call_time(call, START_TIMEOUT):
                 head = await self._start(call, generation, target)
--- a/packages/rollouts/sequoia_rollouts/targets/senders.py
+++ b/packages/rollouts/sequoia_rollouts/targets/senders.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from attrs import define, field, frozen
+from sequoia_policy.bytes_in_flight import BytesInFlight
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
 from sequoia_policy.memory_budgets import Reservation
@@ -105,6 +106,7 @@
             id. A late copy of a report is an older report.
         order_client: Sends orders, on connections of its own. What an order has
             done is known from the report after it.
+        in_flight: Bytes of the bodies that each target holds.
     """
 
     clock: Clock
@@ -115,13 +117,19 @@
     client: HttpClient = field(factory=HttpClient)
     report_client: HttpClient = field(factory=HttpClient)
     order_client: HttpClient = field(factory=HttpClient)
+    in_flight: BytesInFlight = field(factory=BytesInFlight)
 
     @asynccontextmanager
     async def open(
-        self, target: RegisteredTarget, urgency: Urgency
+        self, target: RegisteredTarget, urgency: Urgency, size: int = 0
     ) -> AsyncIterator[Call]:
         """Open a call for one request to a target.
 
+        Args:
+            target: Where to send it.
+            urgency: How soon the response is needed.
+            size: Size of its body.
+
         Raises:
             ServiceError: With code TARGET_LIMITED if the target takes no
                 request now, with TARGET_REFUSED if it leaves.
@@ -135,8 +143,9 @@
             )
         address = parse_address(target.registration.address)
         timeouts = Timeouts(CONNECT_TIMEOUT, PROGRESS_TIMEOUT)
-        async with self.client.call(address, timeouts) as call:
-            yield call
+        with self.in_flight.hold(target.name, size):
+            async with self.client.call(address, timeouts) as call:
+                yield call
 
     async def fetch(
         self,
@@ -162,7 +171,8 @@
                 only if the target cannot have run the request.
         """
         deadline = self.clock.elapsed() + timeout
-        async with self.open(target, urgency) as call:
+        size = len(outgoing.body)
+        async with self.open(target, urgency, size) as call:
             call.holder = holder
             time_left = deadline - self.clock.elapsed()
             labels = CallLabels(outgoing.id, target.name, time_left)
--- a/packages/wire/sequoia_wire/bodies.py
+++ b/packages/wire/sequoia_wire/bodies.py
@@ -79,12 +79,11 @@
     reads: int = 0
     merger: ChunkMerger | None = None
 
-    async def read(self, length: int | None, is_chunked: bool) -> bytes:
+    async def read(self, length: int | None) -> bytes:
         """Return the body.
 
         Args:
-            length: Its length; None if it is not declared.
-            is_chunked: Whether it is sent in chunks.
+            length: Its length; None if it is sent in chunks.
 
         Raises:
             ServiceError: If the body is too large, stalls or is incomplete, or
@@ -92,10 +91,10 @@
             TaskTimeout: If the peer stalls.
         """
         self.holder.use = Use.BODY
-        if is_chunked:
+        if length is None:
             self.merger = ChunkMerger()
             self._feed(take_received(self.state))
-        elif length:
+        else:
             await self.memory.reserve(self.holder, length)
         event = await self._next_event()
         while isinstance(event, h11.Data):
--- a/packages/wire/sequoia_wire/chunk_mergers.py
+++ b/packages/wire/sequoia_wire/chunk_mergers.py
@@ -112,6 +112,11 @@
     return b'%x\r\n%b\r\n' % (len(content), content)
 
 
+def count_received(state: h11.Connection) -> int:
+    """Return how many bytes a parser has received and not read."""
+    return len(state._receive_buffer)  # noqa: SLF001
+
+
 def take_received(state: h11.Connection) -> bytes:
     """Remove and return what a parser has received and not read."""
     buffer = state._receive_buffer  # noqa: SLF001
--- a/packages/wire/sequoia_wire/exchanges.py
+++ b/packages/wire/sequoia_wire/exchanges.py
@@ -8,10 +8,11 @@
 import h11
 from attrs import define, field, frozen
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_policy.memory_budgets import Reservation, Use
+from sequoia_policy.memory_budgets import SMALL_BYTES, Reservation, Use
 from sequoia_policy.verdicts import Verdict
 
 from sequoia_wire.bodies import BodyReader, Turns
+from sequoia_wire.chunk_mergers import count_received
 from sequoia_wire.clocks import monotonic_time
 from sequoia_wire.http_events import read_event
 from sequoia_wire.memory import Memory, make_reservation
@@ -23,7 +24,7 @@
     split_body,
 )
 
-HEAD_READ_SIZE = 16384  # bytes
+HEAD_READ_SIZE = 32768  # bytes
 VERDICT_HEADER = 'sequoia-verdict'
 CODE_HEADER = 'sequoia-code'
 
@@ -118,8 +119,9 @@
             ServiceError: If the body is too large, stalls or is incomplete, or
                 if its memory is needed for others.
         """
-        self._check_length()
-        length = self.head.header('content-length')
+        length = self._find_length()
+        if length is not None and self._has_received(length):
+            return self._take_body(length)
         reader = BodyReader(
             self.sock,
             self.state,
@@ -129,10 +131,7 @@
             self.turns,
         )
         with translate_errors():
-            body = await reader.read(
-                int(length) if length else None,
-                bool(self.head.header('transfer-encoding')),
-            )
+            body = await reader.read(length)
         self.received = len(body)
         return body
 
@@ -212,13 +211,37 @@
             ) from error
         self.state.receive_data(received)
 
-    def _check_length(self) -> None:
-        declared = self.head.header('content-length')
-        if declared and int(declared) > self.limits.body_bytes:
+    def _find_length(self) -> int | None:
+        """Return the length of the body; None if it is sent in chunks.
+
+        Raises:
+            ServiceError: If it is too long.
+        """
+        if self.head.header('transfer-encoding'):
+            return None
+        length = int(self.head.header('content-length') or 0)
+        if length > self.limits.body_bytes:
             raise ServiceError(
                 Code.BODY_TOO_LARGE,
-                f'{declared} bytes declared by content-length',
+                f'{length} bytes declared by content-length',
             )
+        return length
+
+    def _has_received(self, length: int) -> bool:
+        """Return whether a small body has arrived with the head."""
+        if length > min(SMALL_BYTES, count_received(self.state)):
+            return False
+        return self.memory.budget.fits(self.holder, length)
+
+    def _take_body(self, length: int) -> bytes:
+        """Return a body that has arrived with the head."""
+        self.memory.overdraw(self.holder, length)
+        self.received = length
+        event = self.state.next_event()
+        if not isinstance(event, h11.Data):
+            return b''
+        self.state.next_event()
+        return bytes(event.data)
 
     def _response(
         self,
