Use one reservation for each connection of a caller

Cause: a reservation for each request and a context manager for each read made small requests slower by 2 to 4 percent. Change: the reservation belongs to the connection and begins a new use with each body and response; the length of a response is looked up only where memory is reserved for it.

--- a/packages/policy/sequoia_policy/memory_budgets.py
+++ b/packages/policy/sequoia_policy/memory_budgets.py
@@ -37,7 +37,7 @@
     """Memory that one request or response holds.
 
     Attributes:
-        created_at: When it was created.
+        created_at: When its current use began.
         close: Ends the transfer, so that its memory is released.
         use: What it is for.
         size: Reserved bytes.
@@ -59,8 +59,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Begin the first window."""
-        self.window_start = self.created_at
-        self.moved_at = self.created_at
+        self.begin(self.use, self.created_at)
 
     @property
     def is_large(self) -> bool:
@@ -72,6 +71,15 @@
         """Its size if it belongs to the large bodies, else zero."""
         return self.size if self.is_large else 0
 
+    def begin(self, use: Use, now: timedelta) -> None:
+        """Begin another use, such as that for the next request."""
+        self.use = use
+        self.created_at = now
+        self.window_start = now
+        self.moved_at = now
+        self.moved = 0
+        self.rate = math.inf
+
     def record_transfer(self, size: int, now: timedelta) -> None:
         """Count bytes that were transferred."""
         self.moved += size
--- a/packages/wire/sequoia_wire/bodies.py
+++ b/packages/wire/sequoia_wire/bodies.py
@@ -90,7 +90,7 @@
                 if its memory is needed for others.
             TaskTimeout: If the peer stalls.
         """
-        self.holder.use = Use.BODY
+        self.holder.begin(Use.BODY, self.started_at)
         if length is None:
             self.merger = ChunkMerger()
             self._feed(take_received(self.state))
@@ -103,7 +103,7 @@
         if not isinstance(event, h11.EndOfMessage):
             raise ServiceError(Code.BAD_REQUEST, 'incomplete request body')
         self._check_memory()
-        self.holder.use = Use.WORK
+        self.holder.begin(Use.WORK, monotonic_time())
         return self.content.getvalue()
 
     async def _append(self, piece: bytes) -> None:
--- a/packages/wire/sequoia_wire/clients.py
+++ b/packages/wire/sequoia_wire/clients.py
@@ -61,7 +61,7 @@
         sent: Whether any byte of the request may have been sent.
         holder: Gets the memory that is reserved for the response.
         reserved: Bytes that were reserved for it.
-        declared_size: Length of the response that its head declares.
+        head: Head of the response; None before it was received.
     """
 
     client: 'HttpClient'
@@ -71,7 +71,7 @@
     sent: bool = False
     holder: Reservation | None = None
     reserved: int = 0
-    declared_size: int = 0
+    head: ResponseHead | None = None
 
     async def __aenter__(self) -> 'Call':
         """Enter the context; ``send`` opens the connection."""
@@ -143,7 +143,8 @@
         content = io.BytesIO()  # returns its content without a copy
         limit = self.client.max_body_bytes
         size = 0
-        await self._reserve(min(self.declared_size, limit))
+        if self.holder is not None:
+            await self._reserve(min(self._find_length(), limit))
         chunk = await self.read_chunk()
         while chunk:
             size += len(chunk)
@@ -157,6 +158,11 @@
             chunk = await self.read_chunk()
         return content.getvalue()
 
+    def _find_length(self) -> int:
+        """Return the length that the response declares, zero if none."""
+        assert self.head
+        return parse_count(self.head.header('content-length') or '') or 0
+
     async def _reserve(self, size: int) -> None:
         """Reserve memory for a response; its target waits meanwhile.
 
@@ -217,11 +223,9 @@
         if not isinstance(event, h11.Response):
             raise ServiceError(Code.TARGET_BROKE, 'no response head')
         head = ResponseHead(event.status_code, tuple(event.headers))
-        self.declared_size = (
-            parse_count(head.header('content-length') or '') or 0
-        )
         assert self.connection
         self.connection.expires_at = parse_expiry(head)
+        self.head = head
         return head
 
     async def _read_final_head(self) -> h11.Event:
--- a/packages/wire/sequoia_wire/exchanges.py
+++ b/packages/wire/sequoia_wire/exchanges.py
@@ -1,7 +1,6 @@
 """Server side of an HTTP request and its response."""
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from datetime import timedelta
 
 import curio
@@ -25,6 +24,7 @@
 )
 
 HEAD_READ_SIZE = 32768  # bytes
+READ_ERRORS = (curio.TaskTimeout, h11.RemoteProtocolError)
 VERDICT_HEADER = 'sequoia-verdict'
 CODE_HEADER = 'sequoia-code'
 
@@ -130,8 +130,10 @@
             self.holder,
             self.turns,
         )
-        with translate_errors():
+        try:
             body = await reader.read(length)
+        except READ_ERRORS as error:
+            raise translate_error(error) from error
         self.received = len(body)
         return body
 
@@ -159,7 +161,7 @@
             return
         needed = self.received + len(body)
         self.memory.overdraw(self.holder, max(self.holder.size, needed))
-        self.holder.use = Use.RESPONSE
+        self.holder.begin(Use.RESPONSE, monotonic_time())
         await self._send(response)
         for piece in split_body(body):
             await self._send(h11.Data(piece))
@@ -190,10 +192,12 @@
         Raises:
             ServiceError: If the peer stalls or violates the protocol.
         """
-        with translate_errors():
+        try:
             return await read_event(
                 self.sock, self.state, timeout, HEAD_READ_SIZE
             )
+        except READ_ERRORS as error:
+            raise translate_error(error) from error
 
     def close_unless_read(self) -> None:
         """Close after this response if the request was not read completely."""
@@ -235,7 +239,8 @@
 
     def _take_body(self, length: int) -> bytes:
         """Return a body that has arrived with the head."""
-        self.memory.overdraw(self.holder, length)
+        if length:
+            self.memory.overdraw(self.holder, length)
         self.received = length
         event = self.state.next_event()
         if not isinstance(event, h11.Data):
@@ -267,25 +272,16 @@
             ) from error
 
 
-@contextmanager
-def translate_errors() -> Iterator[None]:
-    """Translate what ends the reading of a request.
-
-    Raises:
-        ServiceError: If the peer stalls or violates the protocol.
-    """
-    try:
-        yield
-    except curio.TaskTimeout as error:
-        raise ServiceError(
+def translate_error(error: Exception) -> ServiceError:
+    """Return the error for what ended the reading of a request."""
+    if isinstance(error, curio.TaskTimeout):
+        return ServiceError(
             Code.STALLED, 'the peer sent no data within the timeout'
-        ) from error
-    except h11.RemoteProtocolError as error:
-        too_large = (
-            error.error_status_hint == Code.HEADERS_TOO_LARGE.value.status
         )
-        code = Code.HEADERS_TOO_LARGE if too_large else Code.BAD_REQUEST
-        raise ServiceError(code, str(error)) from error
+    hint = getattr(error, 'error_status_hint', None)
+    too_large = hint == Code.HEADERS_TOO_LARGE.value.status
+    code = Code.HEADERS_TOO_LARGE if too_large else Code.BAD_REQUEST
+    return ServiceError(code, str(error))
 
 
 def encode_error(error: ServiceError) -> tuple[Header, ...]:
--- a/packages/wire/sequoia_wire/servers.py
+++ b/packages/wire/sequoia_wire/servers.py
@@ -7,7 +7,7 @@
 import h11
 from attrs import define, field
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_policy.memory_budgets import Use
+from sequoia_policy.memory_budgets import Reservation, Use
 
 from sequoia_wire.bodies import Turns
 from sequoia_wire.clocks import monotonic_time
@@ -241,6 +241,7 @@
             our_role=h11.SERVER,
             max_incomplete_event_size=self.server.limits.header_bytes,
         )
+        holder = Reservation(monotonic_time(), self._end_transfer)
         keep_alive = True
         while keep_alive:
             exchange = Exchange(
@@ -250,13 +251,14 @@
                 is_stopping=self.server.is_stopping,
                 memory=self.server.memory,
                 turns=self.server.turns,
+                holder=holder,
             )
             self.exchange = exchange
-            exchange.holder.close = self._end_transfer
             try:
                 keep_alive = await self._serve_one(exchange)
             finally:
-                self.server.memory.release(exchange.holder)
+                self.server.memory.release(holder)
+                holder.use = Use.WORK
 
     async def _serve_one(self, exchange: Exchange) -> bool:
         try:
--- a/packages/wire/tests/test_request_bodies.py
+++ b/packages/wire/tests/test_request_bodies.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from sequoia_policy.memory_budgets import MemoryBudget
+from sequoia_policy.memory_budgets import MemoryBudget, Use
 from sequoia_standins.fakes import exchange_bytes
 from sequoia_wire.chunk_mergers import ChunkMerger
 from sequoia_wire.exchanges import ServerLimits
@@ -273,3 +273,26 @@
         return received
 
     assert curio.run(main) >= 3_000_000
+
+
+def test_a_request_after_a_large_response_is_not_taken_for_a_slow_reader():
+    """It was closed for memory while its target worked on it."""
+    uses = []
+
+    async def respond(exchange):
+        await exchange.read_body()
+        uses.append(exchange.holder.use)
+        await exchange.respond(200, bytes(200_000))
+
+    async def main():
+        server = HttpServer(Address('127.0.0.1', 0), respond, LIMITS)
+        server.open()
+        task = await curio.spawn(server.run, daemon=True)
+        request = make_request(5, is_chunked=False)
+        await exchange_bytes(
+            server.address, request, request, delay=0.05, half_close=True
+        )
+        await task.cancel()
+
+    curio.run(main)
+    assert uses == [Use.WORK, Use.WORK]
