--- a/packages/wire/sequoia_wire/bodies.py
+++ b/packages/wire/sequoia_wire/bodies.py
@@ -79,23 +79,22 @@
     reads: int = 0
     merger: ChunkMerger | None = None
 
-    async def read(self, length: int | None, is_chunked: bool) -> bytes:
+    async def read(self, length: int | None) -> bytes:
         """Return the body.
 
         Args:
-            length: Its length; None if it is not declared.
-            is_chunked: Whether it is sent in chunks.
+            length: Its length; None if it is sent in chunks.
 
         Raises:
             ServiceError: If the body is too large, stalls or is incomplete, or
                 if its memory is needed for others.
             TaskTimeout: If the peer stalls.
         """
-        self.holder.use = Use.BODY
-        if is_chunked:
+        self.holder.begin(Use.BODY, self.started_at)
+        if length is None:
             self.merger = ChunkMerger()
             self._feed(take_received(self.state))
-        elif length:
+        else:
             await self.memory.reserve(self.holder, length)
         event = await self._next_event()
         while isinstance(event, h11.Data):
@@ -104,7 +103,7 @@
         if not isinstance(event, h11.EndOfMessage):
             raise ServiceError(Code.BAD_REQUEST, 'incomplete request body')
         self._check_memory()
-        self.holder.use = Use.WORK
+        self.holder.begin(Use.WORK, monotonic_time())
         return self.content.getvalue()
 
     async def _append(self, piece: bytes) -> None:
--- a/packages/wire/sequoia_wire/exchanges.py
+++ b/packages/wire/sequoia_wire/exchanges.py
@@ -1,17 +1,17 @@
 """Server side of an HTTP request and its response."""
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from datetime import timedelta
 
 import curio
 import h11
 from attrs import define, field, frozen
 from sequoia_policy.errors import Code, ServiceError
-from sequoia_policy.memory_budgets import Reservation, Use
+from sequoia_policy.memory_budgets import SMALL_BYTES, Reservation, Use
 from sequoia_policy.verdicts import Verdict
 
 from sequoia_wire.bodies import BodyReader, Turns
+from sequoia_wire.chunk_mergers import count_received
 from sequoia_wire.clocks import monotonic_time
 from sequoia_wire.http_events import read_event
 from sequoia_wire.memory import Memory, make_reservation
@@ -23,7 +23,8 @@
     split_body,
 )
 
-HEAD_READ_SIZE = 16384  # bytes
+HEAD_READ_SIZE = 32768  # bytes
+READ_ERRORS = (curio.TaskTimeout, h11.RemoteProtocolError)
 VERDICT_HEADER = 'sequoia-verdict'
 CODE_HEADER = 'sequoia-code'
 
@@ -118,8 +119,9 @@
             ServiceError: If the body is too large, stalls or is incomplete, or
                 if its memory is needed for others.
         """
-        self._check_length()
-        length = self.head.header('content-length')
+        length = self._find_length()
+        if length is not None and self._has_received(length):
+            return self._take_body(length)
         reader = BodyReader(
             self.sock,
             self.state,
@@ -128,11 +130,10 @@
             self.holder,
             self.turns,
         )
-        with translate_errors():
-            body = await reader.read(
-                int(length) if length else None,
-                bool(self.head.header('transfer-encoding')),
-            )
+        try:
+            body = await reader.read(length)
+        except READ_ERRORS as error:
+            raise translate_error(error) from error
         self.received = len(body)
         return body
 
@@ -160,7 +161,7 @@
             return
         needed = self.received + len(body)
         self.memory.overdraw(self.holder, max(self.holder.size, needed))
-        self.holder.use = Use.RESPONSE
+        self.holder.begin(Use.RESPONSE, monotonic_time())
         await self._send(response)
         for piece in split_body(body):
             await self._send(h11.Data(piece))
@@ -191,10 +192,12 @@
         Raises:
             ServiceError: If the peer stalls or violates the protocol.
         """
-        with translate_errors():
+        try:
             return await read_event(
                 self.sock, self.state, timeout, HEAD_READ_SIZE
             )
+        except READ_ERRORS as error:
+            raise translate_error(error) from error
 
     def close_unless_read(self) -> None:
         """Close after this response if the request was not read completely."""
@@ -212,13 +215,38 @@
             ) from error
         self.state.receive_data(received)
 
-    def _check_length(self) -> None:
-        declared = self.head.header('content-length')
-        if declared and int(declared) > self.limits.body_bytes:
+    def _find_length(self) -> int | None:
+        """Return the length of the body; None if it is sent in chunks.
+
+        Raises:
+            ServiceError: If it is too long.
+        """
+        if self.head.header('transfer-encoding'):
+            return None
+        length = int(self.head.header('content-length') or 0)
+        if length > self.limits.body_bytes:
             raise ServiceError(
                 Code.BODY_TOO_LARGE,
-                f'{declared} bytes declared by content-length',
+                f'{length} bytes declared by content-length',
             )
+        return length
+
+    def _has_received(self, length: int) -> bool:
+        """Return whether a small body has arrived with the head."""
+        if length > min(SMALL_BYTES, count_received(self.state)):
+            return False
+        return self.memory.budget.fits(self.holder, length)
+
+    def _take_body(self, length: int) -> bytes:
+        """Return a body that has arrived with the head."""
+        if length:
+            self.memory.overdraw(self.holder, length)
+        self.received = length
+        event = self.state.next_event()
+        if not isinstance(event, h11.Data):
+            return b''
+        self.state.next_event()
+        return bytes(event.data)
 
     def _response(
         self,
@@ -244,25 +272,16 @@
             ) from error
 
 
-@contextmanager
-def translate_errors() -> Iterator[None]:
-    """Translate what ends the reading of a request.
-
-    Raises:
-        ServiceError: If the peer stalls or violates the protocol.
-    """
-    try:
-        yield
-    except curio.TaskTimeout as error:
-        raise ServiceError(
+def translate_error(error: Exception) -> ServiceError:
+    """Return the error for what ended the reading of a request."""
+    if isinstance(error, curio.TaskTimeout):
+        return ServiceError(
             Code.STALLED, 'the peer sent no data within the timeout'
-        ) from error
-    except h11.RemoteProtocolError as error:
-        too_large = (
-            error.error_status_hint == Code.HEADERS_TOO_LARGE.value.status
         )
-        code = Code.HEADERS_TOO_LARGE if too_large else Code.BAD_REQUEST
-        raise ServiceError(code, str(error)) from error
+    hint = getattr(error, 'error_status_hint', None)
+    too_large = hint == Code.HEADERS_TOO_LARGE.value.status
+    code = Code.HEADERS_TOO_LARGE if too_large else Code.BAD_REQUEST
+    return ServiceError(code, str(error))
 
 
 def encode_error(error: ServiceError) -> tuple[Header, ...]:
