Decode the scaling of services, and the kind of engines

A service may name how many engines run in each failure domain and what they cost; engines that the platform may reclaim say so, and how long they still run. Nothing reads these fields yet. The remaining time is rounded up to seconds, so that the renewals of a leaving engine in a large fleet are published at most once a second each.

--- a/packages/policy/sequoia_policy/registries.py
+++ b/packages/policy/sequoia_policy/registries.py
@@ -41,6 +41,9 @@
         leaving: Whether the target refuses new work.
         versions: Model versions that the target has loaded.
         release: Version of the target's software; empty if unknown.
+        reclaimable: Whether the platform may take the target away with short
+            notice.
+        leaves_in: Time that remains to a target that leaves; None if unknown.
     """
 
     name: str
@@ -52,6 +55,8 @@
     leaving: bool = False
     versions: tuple[ModelVersion, ...] = ()
     release: str = ''
+    reclaimable: bool = False
+    leaves_in: timedelta | None = None
 
     @property
     def process(self) -> TargetProcess:
--- a/packages/policy/sequoia_policy/routing.py
+++ b/packages/policy/sequoia_policy/routing.py
@@ -78,6 +78,34 @@
         return rng.choices(self.shares, weights)[0].service
 
 
+@frozen
+class DomainPrice:
+    """Price of a regular engine in a failure domain, for a second."""
+
+    domain: str
+    price: float
+
+
+@frozen
+class Scaling:
+    """Bounds and prices within which the engines of a service are ordered.
+
+    Attributes:
+        min_count: Fewest engines in a failure domain.
+        max_count: Most engines in a failure domain, of both kinds together.
+        boot: Time from an order until a new engine serves.
+        reclaimable_price: Price of a reclaimable engine as a share of that of
+            a regular one.
+        prices: Prices of the failure domains in which engines may be ordered.
+    """
+
+    min_count: int
+    max_count: int
+    boot: timedelta
+    reclaimable_price: float = 1
+    prices: tuple[DomainPrice, ...] = ()
+
+
 @frozen
 class Service:
     """A group of targets that serve the same requests.
@@ -87,12 +115,14 @@
         connections: Maximum number of connections that a target accepts from
             all hosts together.
         health_path: Path at which a target tells its health.
+        scaling: How many engines may be ordered; None if none are.
     """
 
     name: str
     models: tuple[str, ...] = ()
     connections: int = 100
     health_path: str = '/'
+    scaling: Scaling | None = None
 
 
 @frozen
--- a/packages/rollouts/tests/test_decoders.py
+++ b/packages/rollouts/tests/test_decoders.py
@@ -1,5 +1,7 @@
 """Tests that decoders refuse or skip invalid input without other errors."""
 
+from datetime import timedelta
+
 import orjson
 import pytest
 from hypothesis import given
@@ -10,6 +12,7 @@
 from sequoia_platform.settings import SettingsError, read_fields, read_settings
 from sequoia_platform.stores import read_rows
 from sequoia_policy.errors import Code, ServiceError
+from sequoia_policy.routing import DomainPrice, Scaling
 from sequoia_policy.submissions import ItemResult, ItemState
 from sequoia_rollouts.targets.directories import NamedVersion
 from sequoia_rollouts.streaming.events import EventReader
@@ -186,3 +189,73 @@
         read_settings(path)
     with pytest.raises(SettingsError):
         read_settings(tmp_path / 'missing')
+
+
+ENTRY = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'z1',
+    'version': 'v1',
+    'slots': 2,
+    'state': 'draining',
+    'coldLeftMs': 0,
+    'seq': 3,
+    'born': 1,
+    'models': [],
+}
+SCALING = {
+    'min': 1,
+    'max': 10,
+    'bootS': 4,
+    'spotPrice': 0.22,
+    'zonePrices': {'z2': 1.2, 'z1': 0.85},
+}
+
+
+def read_scaled(scaling):
+    manifest = make_manifest()
+    manifest['services'][0]['scaling'] = scaling
+    row = make_row('config', orjson.dumps(manifest))
+    return PlatformReader().read_operator_row(row)
+
+
+def test_scaling_of_a_service_is_decoded():
+    configuration = read_scaled(SCALING)
+    scaling = configuration.services[0].scaling
+    prices = (DomainPrice('z1', 0.85), DomainPrice('z2', 1.2))
+    assert scaling == Scaling(1, 10, timedelta(seconds=4), 0.22, prices)
+    assert configuration.services[1].scaling is None
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'min': 11},
+        {'min': -1},
+        {'max': '10'},
+        {'bootS': -1},
+        {'zonePrices': [1]},
+        {'zonePrices': {'z1': -1}},
+    ],
+)
+def test_scaling_that_makes_no_sense_invalidates_the_configuration(change):
+    """Guards against orders within bounds that nobody set."""
+    assert read_scaled({**SCALING, **change}) is None
+
+
+@pytest.mark.parametrize(
+    ('fields', 'reclaimable', 'leaves_in'),
+    [
+        ({}, False, None),
+        ({'spot': True}, True, None),
+        ({'spot': False, 'leaves_ms': 2100}, False, timedelta(seconds=3)),
+        ({'spot': True, 'leaves_ms': 0}, True, timedelta()),
+    ],
+)
+def test_kind_and_remaining_time_of_an_engine_are_decoded(
+    fields, reclaimable, leaves_in
+):
+    row = make_row('e1', orjson.dumps({**ENTRY, **fields}))
+    registration = PlatformReader().read_registration(row)
+    assert registration.reclaimable is reclaimable
+    assert registration.leaves_in == leaves_in
--- a/packages/rollouts/tests/test_side_by_side.py
+++ b/packages/rollouts/tests/test_side_by_side.py
@@ -64,7 +64,20 @@
     (
         'sequoia_policy.registries',
         Registration('e1', 's', '1.2.3.4:5', 'z'),
-        {},
+        {'reclaimable': False, 'leaves_in': None},
+    ),
+    (
+        'sequoia_policy.registries',
+        Registration(
+            'e2',
+            's',
+            '1.2.3.4:5',
+            'z',
+            leaving=True,
+            reclaimable=True,
+            leaves_in=timedelta(seconds=3),
+        ),
+        {'reclaimable': False, 'leaves_in': None},
     ),
     (
         'sequoia_policy.submissions',
