Order engines for services that may be scaled

A coordinator that holds the duty of a service plans twice a second from the list of targets and the table of owners, and orders through the platform's API within its rate. Other coordinators count the engines as well, so that the next holder knows what ran. The duty is released at a stop. Nothing changes unless the settings list the duty and the service has scaling.

--- a/packages/policy/sequoia_policy/capacity_plans.py
+++ b/packages/policy/sequoia_policy/capacity_plans.py
@@ -82,6 +82,7 @@
         before_night: Engines that ran before some were given back because
             there were no steps; 0 if none were.
         spare_at: When a reclaimable engine was last added.
+        need: Share of their time that steps needed when that was last asked.
     """
 
     scaling: Scaling
@@ -98,6 +99,7 @@
     released_at: timedelta = timedelta()
     before_night: int = 0
     spare_at: timedelta = timedelta()
+    need: float = 0
 
     @property
     def wanted(self) -> int:
@@ -207,6 +209,7 @@
 
     def _grow(self, now: timedelta) -> None:
         need = self._find_need(now)
+        self.need = round(need, 2)
         if self.before_night and self.history.running:
             added = self.bounds.place(self.before_night - self.wanted, now)
             self.before_night = 0
--- a/packages/policy/tests/test_imports.py
+++ b/packages/policy/tests/test_imports.py
@@ -47,9 +47,11 @@
     'live': {'base', 'storage', 'fleet', 'targets', 'streaming'},
     'submissions': {'base', 'storage', 'fleet', 'targets', 'streaming'},
     'weights': {'base', 'storage', 'fleet', 'targets'},
+    'capacity': {'base', 'storage', 'fleet', 'targets'},
     'process': {
         'accounts',
         'base',
+        'capacity',
         'storage',
         'fleet',
         'targets',
--- /dev/null
+++ b/packages/rollouts/sequoia_rollouts/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Orders targets: how many run in each failure domain."""
--- a/packages/rollouts/sequoia_rollouts/process/hosts.py
+++ b/packages/rollouts/sequoia_rollouts/process/hosts.py
@@ -25,6 +25,7 @@
     build_result_reader,
 )
 from sequoia_rollouts.base.settings import HostSettings
+from sequoia_rollouts.process.duties import Duties, build_duties
 from sequoia_rollouts.process.fronts import make_server_limits
 from sequoia_rollouts.process.platforms import Platform
 from sequoia_rollouts.process.shutdowns import Shutdown
@@ -64,6 +65,7 @@
     live: LivePath = field(init=False)
     submission_handler: SubmissionHandler = field(init=False)
     weights: WeightManagers = field(init=False)
+    duties: Duties = field(init=False)
     results: ResultReader = field(init=False)
     front: HttpServer = field(init=False)
     publisher: RegistrationPublisher = field(init=False)
@@ -135,6 +137,7 @@
             Committer(store, self.clock),
             self.settings.order_lease,
         )
+        self.duties = build_duties(self)
         self.publisher = RegistrationPublisher(
             store, self.clock, self.heartbeats, self.directory
         )
@@ -201,6 +204,7 @@
             *self.submission_handler.loops,
             *self.live.loops,
             self.weights.run,
+            *self.duties.loops,
             self.sweeper.run,
             self.reloader.run,
             self.run_log_flushes,
@@ -228,6 +232,7 @@
             self.submission_handler,
             self.ownership,
             self.weights,
+            self.duties,
             self.front,
             self.live.sender.client,
             self.coordination.lease_keeper,
@@ -242,6 +247,7 @@
         """Apply the settings that need no restart."""
         self.settings = settings
         self.weights.set_lease(settings.order_lease)
+        self.duties.set_lease(settings.order_lease)
         self.coordination.apply_settings(settings)
 
     def _apply_limits(self) -> None:
--- a/packages/rollouts/sequoia_rollouts/process/shutdowns.py
+++ b/packages/rollouts/sequoia_rollouts/process/shutdowns.py
@@ -14,6 +14,7 @@
 
 from sequoia_rollouts.fleet.lease_keepers import LeaseKeeper
 from sequoia_rollouts.fleet.ownership import OwnershipTable
+from sequoia_rollouts.process.duties import Duties
 from sequoia_rollouts.submissions.submission_handlers import SubmissionHandler
 from sequoia_rollouts.weights.weight_managers import WeightManagers
 
@@ -45,6 +46,7 @@
     submission_handler: SubmissionHandler
     ownership: OwnershipTable
     weights: WeightManagers
+    duties: Duties
     front: HttpServer
     client: HttpClient
     lease_keeper: LeaseKeeper
@@ -87,6 +89,7 @@
         """Finish items in flight, then release the rest to other hosts."""
         with suppress(ServiceError):
             await self.weights.release()
+        await self.duties.release()
         for runner in self.submission_handler.runners.values():
             runner.draining = True
         async with curio.ignore_after(ITEM_FINISH_TIMEOUT.total_seconds()):
--- a/packages/rollouts/tests/sites.py
+++ b/packages/rollouts/tests/sites.py
@@ -23,7 +23,7 @@
 from sequoia_platform.stores import PlatformStore
 from sequoia_rollouts.process.hosts import RolloutHost
 from sequoia_rollouts.process.platforms import Platform
-from sequoia_rollouts.base.settings import HostSettings
+from sequoia_rollouts.base.settings import DutySettings, HostSettings
 from sequoia_wire.clients import HttpClient, Timeouts
 from sequoia_wire.clocks import SystemClock
 from sequoia_wire.messages import Address, RequestHead, encode_headers
@@ -125,6 +125,8 @@
     hosts: list = field(factory=list)
     groups: dict = field(factory=dict)
     client: HttpClient = field(factory=HttpClient)
+    api: object = None
+    duties: DutySettings = DutySettings()
 
     def publish(self):
         """Write the entries of all servers to the store."""
@@ -141,12 +143,14 @@
             find_peer_address(),
             timedelta(seconds=8),
             timedelta(milliseconds=300),
+            duties=self.duties,
         )
         platform = Platform(
             PlatformStore(self.store.server.address),
             PlatformDialect(),
             PlatformReader(),
             lambda: settings,
+            self.api,
         )
         return RolloutHost(settings, platform, SystemClock())
 
