Size additions by the items that arrive, and order no smaller number blindly

After a step in demand one addition was too small for a rate that exceeded what the engines sustain, and the next one waited for late steps. The number that the arriving items keep busy is now the lower limit of an addition. A failure domain that was given up, or whose engines were never listed, got orders of a smaller number, which would have ended engines that run and do not reach the store; it now gets none, or one after a minute. A holder keeps its plan over a moment without the store. Callers that end no steps no longer look like demand.

--- a/packages/policy/sequoia_policy/capacity_bounds.py
+++ b/packages/policy/sequoia_policy/capacity_bounds.py
@@ -29,8 +29,16 @@
             for reclaimable in (False, True)
         ]
 
-    def enforce(self, now: timedelta) -> int:
-        """Keep the wanted numbers within the bounds; return how many were added."""
+    def enforce(self, now: timedelta, *, knows_empty: bool) -> int:
+        """Keep the wanted numbers within the bounds.
+
+        Args:
+            now: The present time.
+            knows_empty: Whether pools without listed engines have none.
+
+        Returns:
+            How many engines were added.
+        """
         added = 0
         # Reclaimable engines are given back before regular ones.
         for plan in sorted(self.pools.values(), key=self._rank_kind):
@@ -38,8 +46,8 @@
             excess = min(wanted - self.scaling.max_count, plan.wanted)
             if excess > 0:
                 plan.reduce(excess, now)
-            elif not plan.pool.reclaimable and now >= plan.unavailable_until:
-                added += self._fill(plan, wanted)
+            elif plan.wanted or knows_empty:
+                added += self._fill(plan, wanted, now)
         return added
 
     def count_room(self) -> int:
@@ -84,9 +92,11 @@
         share = self.scaling.reclaimable_price if pool.reclaimable else 1
         return prices.get(pool.domain, 1) * share
 
-    def _fill(self, plan: PoolPlan, wanted: int) -> int:
+    def _fill(self, plan: PoolPlan, wanted: int, now: timedelta) -> int:
         """Add engines up to the lower bound; return how many."""
         missing = max(0, self.scaling.min_count - wanted)
+        if plan.pool.reclaimable or now < plan.unavailable_until:
+            return 0
         if missing:
             plan.add(missing)
         return missing
--- a/packages/policy/sequoia_policy/capacity_demands.py
+++ b/packages/policy/sequoia_policy/capacity_demands.py
@@ -8,6 +8,7 @@
 
 HISTORY = timedelta(seconds=180)
 RECENT = timedelta(seconds=20)
+RATE_WINDOW = timedelta(seconds=10)
 MIN_STEPS = 3  # from which anything is derived
 LOW_QUANTILE = 4  # the lowest quarter
 STEPS_AHEAD = 2  # that begin before an ordered engine serves
@@ -113,23 +114,34 @@
     def find_work(self) -> float:
         """Return how many engines the work in the open steps needs.
 
-        It is derived from what an item took in steps that waited least for
-        others. A step before which others wait is late before it shows.
+        A step before which others wait is late before its share shows it.
         """
-        loads = sorted(
-            step.share * step.engines / step.items
-            for step in self.finished
-            if step.items
-        )
-        if len(loads) < MIN_STEPS:
+        load = self._find_load()
+        if not load:
             return 0
-        load = loads[len(loads) // LOW_QUANTILE]
         engines = self.finished[-1].engines
         return sum(
-            max(0, step.items * load - step.share * engines)
+            max(0, step.items * load - step.age.total_seconds() * engines)
+            / step.due.total_seconds()
             for step in self._list_expected()
         )
 
+    def find_busy(self, now: timedelta) -> float:
+        """Return how many engines the steps of the last seconds keep busy.
+
+        With fewer engines later steps wait longer and longer.
+        """
+        begin = now - RATE_WINDOW
+        items = sum(
+            step.items for step in self.finished if step.started_at >= begin
+        )
+        items += sum(
+            step.items
+            for step in self.running.values()
+            if now - step.age >= begin
+        )
+        return items * self._find_load() / RATE_WINDOW.total_seconds()
+
     def find_peak(self, engines: int) -> float:
         """Return the most engines that a step within HISTORY kept busy.
 
@@ -140,8 +152,32 @@
         loads.extend(step.share * engines for step in self._list_expected())
         return max(loads, default=0)
 
+    def _find_load(self) -> float:
+        """Return the engine-seconds of an item; 0 if unknown.
+
+        They are those of the steps that waited least for others.
+        """
+        loads = sorted(
+            (step.ended_at - step.started_at).total_seconds()
+            * step.engines
+            / step.items
+            for step in self.finished
+            if step.items
+        )
+        if len(loads) < MIN_STEPS:
+            return 0
+        return loads[len(loads) // LOW_QUANTILE]
+
     def _list_expected(self) -> list[StepView]:
-        """Return the open steps that their callers still wait for."""
+        """Return the open steps that their callers still wait for.
+
+        If callers end no steps at all, it is not known how long these took.
+        """
+        is_any_abandoned = any(
+            step.share >= ABANDONED_SHARE for step in self.running.values()
+        )
+        if is_any_abandoned and not self.finished:
+            return []
         return [
             step
             for step in self.running.values()
--- a/packages/policy/sequoia_policy/capacity_plans.py
+++ b/packages/policy/sequoia_policy/capacity_plans.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from sequoia_policy.capacity_bounds import CapacityBounds
-from sequoia_policy.capacity_counts import EngineCount
+from sequoia_policy.capacity_counts import MEMORY, EngineCount
 from sequoia_policy.capacity_demands import HISTORY, StepHistory
 from sequoia_policy.capacity_pools import (
     UNAVAILABLE_PAUSE,
@@ -19,12 +19,14 @@
 from sequoia_policy.routing import Scaling
 
 WATCH_TIME = timedelta(seconds=10)
+START_MARGIN = timedelta(seconds=2)
 WARM_UP = timedelta(seconds=1)  # in which a new engine loads weights
 GROWTH_SHARE = (
     0.85  # of their time that steps need, from which engines are added
 )
 GROWN_SHARE = 0.75  # that steps should need with the added engines
 SPARE_SHARE = 0.7  # from which reclaimable engines are added
+MAX_BUSY = 0.85  # of the engines that the added ones leave busy on average
 MAX_GROWTH = 0.5  # of the engines that run
 IDLE_SHARE = 0.35  # below which engines are given back
 RELEASE_INTERVAL = timedelta(seconds=30)
@@ -73,7 +75,7 @@
 
     Attributes:
         may_reduce: Whether engines that no step needs may be given back.
-        taken_at: When this host took the duty; None if it does not hold it.
+        taken_at: When this host took the duty; None before it first plans.
         planning: Whether it has watched for long enough.
         unplaced: Engines that are missing, and that no pool was to have so far.
         settled_at: Steps that began before do not show what is needed.
@@ -124,7 +126,7 @@
         self.history.observe(view.now, view.steps, engines)
 
     def release(self) -> None:
-        """Plan no longer, as this host does not hold the duty."""
+        """Watch again before the next plan, as another host may have planned."""
         self.taken_at = None
         self.planning = False
 
@@ -135,11 +137,14 @@
             view: What was observed last.
         """
         now = view.now
-        if not self._may_plan(now):
+        if self.taken_at is None:
+            self.taken_at = now
+        if not self._may_plan(now, self.taken_at):
             return None
         for plan in self.pools.values():
             self.unplaced -= plan.adopt(now)
-        self.unplaced -= self.bounds.enforce(now)
+        knows_empty = now - self.taken_at >= MEMORY
+        self.unplaced -= self.bounds.enforce(now, knows_empty=knows_empty)
         self._replace(view)
         if self._is_complete(now):
             self._grow(now)
@@ -157,11 +162,11 @@
         if order.reason is Reason.REPLACED or not order.pool.reclaimable:
             self.unplaced += given_up
 
-    def _may_plan(self, now: timedelta) -> bool:
+    def _may_plan(self, now: timedelta, taken_at: timedelta) -> bool:
         """Return whether this host has watched since it took the duty."""
-        if self.taken_at is None:
-            self.taken_at = now
-        if now - self.taken_at < WATCH_TIME:
+        # What the holder before has ordered must have started.
+        watch_time = max(WATCH_TIME, self.scaling.boot + START_MARGIN)
+        if now - taken_at < watch_time:
             return False
         if not self.planning:
             self.planning = True
@@ -179,8 +184,8 @@
         excess = max(0, self.wanted - self.total.level)
         for other in self.pools.values():
             lost = min(excess, max(0, other.wanted - other.count.middle))
-            other.wanted -= lost
-            excess -= lost
+            if lost:
+                excess -= other.give_up(lost, now)
 
     def _replace(self, view: CapacityView) -> None:
         """Place what pools have lost and do not get back."""
@@ -194,15 +199,11 @@
         self.unplaced -= self.bounds.place(self.unplaced, now)
 
     def _is_complete(self, now: timedelta) -> bool:
-        """Return whether no regular engine is missing.
-
-        A lost failure domain, of which only the fewest engines are still
-        wanted, must not keep the others from growing.
-        """
+        """Return whether no regular engine is missing."""
         if self.unplaced:
             return False
         return not any(
-            plan.wanted > plan.min_count and plan.find_missing(now)
+            plan.find_missing(now)
             for pool, plan in self.pools.items()
             if not pool.reclaimable
         )
@@ -236,9 +237,12 @@
     def _add(self, need: float, now: timedelta) -> int:
         """Add regular engines; return how many have room."""
         engines = self.wanted
-        missing = math.ceil(engines * need / GROWN_SHARE) - engines
+        wanted = max(
+            engines * need / GROWN_SHARE,
+            self.history.find_busy(now) / MAX_BUSY,
+        )
         most = math.ceil(engines * MAX_GROWTH)
-        return self.bounds.place(min(missing, most), now)
+        return self.bounds.place(min(math.ceil(wanted) - engines, most), now)
 
     def _add_spare(self, now: timedelta) -> None:
         """Add a reclaimable engine once in a while."""
--- a/packages/policy/sequoia_policy/capacity_pools.py
+++ b/packages/policy/sequoia_policy/capacity_pools.py
@@ -75,6 +75,9 @@
             was ordered.
         ordered: Why the last order was made.
         attempts: Orders since the pool was last complete.
+        is_given_up: Whether missing engines are no longer ordered here. The
+            platform has the number that was ordered before: a smaller one could
+            take engines away that run unlisted.
         repeat_at: When the same number may be ordered again.
         held_until: When an order without a response can no longer be carried
             out.
@@ -89,6 +92,7 @@
     change: Reason | None = None
     ordered: Reason | None = None
     attempts: int = 0
+    is_given_up: bool = False
     repeat_at: timedelta = timedelta()
     held_until: timedelta = timedelta()
     unavailable_until: timedelta = timedelta()
@@ -100,6 +104,7 @@
         self.change = None
         self.ordered = None
         self.attempts = 0
+        self.is_given_up = False
         self.reduced_at = None
 
     def find_missing(self, now: timedelta) -> int:
@@ -107,15 +112,17 @@
 
         Those that were just ordered are not missing while they start.
         """
+        if self.is_given_up:
+            return 0
         if self.ordered is Reason.ADDED and now < self.repeat_at:
             return 0
-        lasting = self.count.count_lasting(now)
-        return 0 if lasting is None else max(0, self.wanted - lasting)
+        return self._count_missing(now)
 
     def add(self, count: int) -> None:
         """Want more engines."""
         self.wanted += count
         self.change = Reason.ADDED
+        self.is_given_up = False
         self.reduced_at = None
 
     def reduce(self, count: int, now: timedelta) -> None:
@@ -133,6 +140,7 @@
         self.wanted -= given_up
         self.change = None
         self.attempts = 0
+        self.is_given_up = True
         self.unavailable_until = until
         return given_up
 
@@ -149,11 +157,12 @@
         if self.pool.reclaimable and leaving:
             reclaimed = max(0, self.wanted - self.count.newest)
             return self.give_up(reclaimed, now + RECLAIM_PAUSE)
-        missing = self.find_missing(now)
+        missing = self._count_missing(now)
         if self.has_failed(now):
             return self.give_up(missing, now + UNAVAILABLE_PAUSE)
         if not missing and now >= self.repeat_at:
             self.attempts = 0
+            self.is_given_up = False
         return 0
 
     def adopt(self, now: timedelta) -> int:
@@ -203,6 +212,10 @@
         """Record that an order had no response."""
         self.held_until = now + LATE_EXECUTION
 
+    def _count_missing(self, now: timedelta) -> int:
+        lasting = self.count.count_lasting(now)
+        return 0 if lasting is None else max(0, self.wanted - lasting)
+
     def _find_repeat(self, now: timedelta) -> Reason | None:
         if self.find_missing(now):
             return Reason.REPLACED
--- a/packages/rollouts/sequoia_rollouts/capacity/capacity_managers.py
+++ b/packages/rollouts/sequoia_rollouts/capacity/capacity_managers.py
@@ -96,6 +96,7 @@
     Attributes:
         find_interval: Returns the minimum time between two calls.
         calling: Whether a call is in flight.
+        fence: Version of the duty under which this host planned last.
     """
 
     clock: Clock
@@ -107,6 +108,7 @@
     find_interval: Callable[[], timedelta]
     pace: CallPace = field(factory=CallPace)
     calling: bool = False
+    fence: int | None = None
 
     def apply(self, service: Service, scaling: Scaling) -> None:
         """Use the bounds and the routes in force."""
@@ -117,8 +119,10 @@
     async def step(self) -> None:
         """Acquire the duty if it is unowned; make the order that is due."""
         owned = await self.duty.step()
-        if owned is None:
+        if owned and owned.version != self.fence:
+            # Another host may have ordered since this one planned last.
             self.planner.release()
+            self.fence = owned.version
         now = self.clock.elapsed()
         view = self.reader.read(self.service, self.planner, now)
         if view is None:
--- a/packages/rollouts/tests/test_capacity.py
+++ b/packages/rollouts/tests/test_capacity.py
@@ -295,3 +295,23 @@
     alone, shared = curio.run(main)
     assert alone == timedelta(seconds=0.25)
     assert shared == timedelta(seconds=0.5)
+
+
+def test_holder_keeps_its_plan_if_the_store_is_away_for_a_moment():
+    """Guards against a watch, and so no orders, after each such moment."""
+
+    async def main():
+        async with open_scaled_site() as (site, api):
+            holder = await wait_for_planning(site)
+            taken_at = find_planner(holder).taken_at
+            site.store.down = 503
+            await curio.sleep(3.5)
+            site.store.down = 0
+            await curio.sleep(1)
+            site.store.remove('servers', 'e0')
+            await wait_until(lambda: api.calls)
+            return taken_at == find_planner(holder).taken_at, api.calls[0]
+
+    is_kept, call = curio.run(main)
+    assert is_kept
+    assert (call.domain, call.count) == ('z1', 2)
