--- a/packages/rollouts/tests/host_processes.py
+++ b/packages/rollouts/tests/host_processes.py
@@ -25,6 +25,7 @@
     """A host as the platform runs it.
 
     Attributes:
+        settings: Fields of its settings beyond those that each host has.
         stops: When SIGTERM was first sent to each of its processes, by time.
     """
 
@@ -33,6 +34,7 @@
     folder: Path
     store: Address
     domain: str = 'z1'
+    settings: dict = field(factory=dict)
     process: subprocess.Popen | None = None
     stops: list = field(factory=list)
 
@@ -56,6 +58,7 @@
             'platform.writesPerS': '800',
             'platform.readsPerS': '2000',
             'platform.partWritesS': '150',
+            **self.settings,
         }
         lines = [f'{key}={text}\n' for key, text in fields.items()]
         settings.write_text(''.join(lines))
