--- a/packages/policy/tests/test_imports.py
+++ b/packages/policy/tests/test_imports.py
@@ -48,9 +48,11 @@
     'live': {'base', 'storage', 'fleet', 'targets', 'streaming', 'usage'},
     'submissions': {'base', 'storage', 'fleet', 'targets', 'streaming'},
     'weights': {'base', 'storage', 'fleet', 'targets'},
+    'capacity': {'base', 'storage', 'fleet', 'targets'},
     'process': {
         'accounts',
         'base',
+        'capacity',
         'storage',
         'fleet',
         'targets',
--- a/packages/rollouts/sequoia_rollouts/process/duties.py
+++ b/packages/rollouts/sequoia_rollouts/process/duties.py
@@ -13,6 +13,7 @@
 from sequoia_policy.usage_windows import UsageTiming
 
 from sequoia_rollouts.base.settings import HostSettings
+from sequoia_rollouts.capacity.capacity_managers import CapacityManagers
 from sequoia_rollouts.fleet.duty_holders import DutyHolder
 from sequoia_rollouts.fleet.ownership import OwnershipTable
 from sequoia_rollouts.fleet.platform_apis import PlatformApi
@@ -84,27 +85,37 @@
 
     Attributes:
         usage: None unless usage is to be reported.
+        capacity: None unless targets are to be ordered.
     """
 
     usage: UsageDuty | None = None
+    capacity: CapacityManagers | None = None
 
     @property
     def loops(self) -> tuple[Callable[[], Awaitable[None]], ...]:
         """The loops to run while the host runs."""
-        if self.usage is None:
-            return ()
-        return (self.usage.run_writes, self.usage.run_reports)
+        usage = self.usage
+        capacity = self.capacity
+        return (
+            *((usage.run_writes, usage.run_reports) if usage else ()),
+            *((capacity.run,) if capacity else ()),
+        )
 
     def set_lease(self, lease: timedelta) -> None:
         """Change the minimum time between calls of two hosts."""
         if self.usage:
             self.usage.reporter.duty.lease = lease
+        if self.capacity:
+            self.capacity.set_lease(lease)
 
     async def release(self) -> None:
         """Release the duties for other hosts, as far as the store responds."""
         if self.usage:
             with suppress(ServiceError):
                 await self.usage.reporter.duty.release()
+        if self.capacity:
+            with suppress(ServiceError):
+                await self.capacity.release()
 
     async def finish(self) -> None:
         """Store what is left when the last request has been answered."""
@@ -115,14 +126,36 @@
 def build_duties(host: DutySource) -> Duties:
     """Return the duties that the settings of a host enable."""
     api = host.platform.api
-    if api is None or not host.settings.duties.reports_usage:
+    if api is None:
         return Duties()
-    return Duties(build_usage_duty(host, api))
+    return Duties(build_usage_duty(host, api), build_capacity_duty(host, api))
+
+
+def build_capacity_duty(
+    host: DutySource, api: PlatformApi
+) -> CapacityManagers | None:
+    """Return the duty to order targets; None if it is not enabled."""
+    if not host.settings.duties.orders_capacity:
+        return None
+    return CapacityManagers(
+        host.clock,
+        host.directory,
+        host.ownership,
+        Committer(host.platform.store, host.clock),
+        api,
+        host.settings.duties,
+        host.settings.order_lease,
+    )
 
 
-def build_usage_duty(host: DutySource, api: PlatformApi) -> UsageDuty:
-    """Return the duty to report usage, and let requests be counted."""
+def build_usage_duty(host: DutySource, api: PlatformApi) -> UsageDuty | None:
+    """Return the duty to report usage, and let requests be counted.
+
+    It is None if it is not enabled.
+    """
     duties = host.settings.duties
+    if not duties.reports_usage:
+        return None
     timing = UsageTiming(duties.report_window, duties.report_limit)
     counter = host.live.usage
     counter.timing = timing
