Let live requests wait in fair order while all their targets are at capacity

A request whose targets were all at capacity was sent again each 15 ms and refused after 12 refusals, with four targets within 57 ms. An account with many requests got nearly all slots that became free. Where the configuration has client accounts, such a request now waits in a queue of the host for its service, bounded in number, bytes and time: the more urgent first, then the account that was served least lately. It is refused at once if the estimate says that its response would be late, with a Retry-After that says when the queue has drained and spreads callers.

--- a/packages/rollouts/sequoia_rollouts/live/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_attempts.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field, frozen
 from sequoia_policy.errors import ServiceError
+from sequoia_policy.live_queues import QueuedRequest
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.retries import AttemptFacts
 from sequoia_policy.routing import Route
@@ -85,6 +86,7 @@
         preferred_release: Release at which the response should begin.
         tried: Names of the targets whose attempts failed; cleared when no
             target of the service is untried after a refusal.
+        queued: Its place in the queue of the service; None if it never waited.
     """
 
     request: LiveRequest
@@ -99,6 +101,7 @@
     release: str = ''
     preferred_release: str = ''
     tried: set[str] = field(factory=set)
+    queued: QueuedRequest | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/rollouts/sequoia_rollouts/live/live_paths.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_paths.py
@@ -28,6 +28,7 @@
     LiveAttempts,
     LiveRequest,
 )
+from sequoia_rollouts.live.live_queues import LiveQueues
 from sequoia_rollouts.live.live_retries import LiveRetries
 from sequoia_rollouts.live.live_streams import StreamRelay
 from sequoia_rollouts.live.live_targets import LiveTargets
@@ -80,6 +81,7 @@
     stop_guard: StopGuard = field(init=False)
     quarantine: Quarantine = field(init=False)
     releases: StreamReleases = field(init=False)
+    queues: LiveQueues = field(init=False)
     handoffs: HandoffSender = field(init=False)
     targets: LiveTargets = field(init=False)
     retries: LiveRetries = field(init=False)
@@ -117,7 +119,12 @@
         self.releases = build_stream_releases(
             self.clock, self.directory, self.ownership
         )
-        self.retries = LiveRetries(self.clock, self.targets, self.quarantine)
+        self.queues = LiveQueues(
+            self.clock, self.directory, self.stop_guard, self.rng
+        )
+        self.retries = LiveRetries(
+            self.clock, self.targets, self.quarantine, self.queues
+        )
         self.hedged_sender = HedgedSender(
             self.clock,
             self.targets,
@@ -139,6 +146,7 @@
         return (
             *self.quarantine.loops,
             *self.releases.splits.loops,
+            self.queues.run,
             self.handoffs.run_probes,
         )
 
@@ -245,6 +253,8 @@
 
     async def _try_until_answered(self, attempts: LiveAttempts) -> Response:
         response = None
+        if self.queues.admits(attempts):
+            await self.queues.enter(attempts)
         while response is None:
             response = await self._try_once(attempts)
         return response
@@ -284,6 +294,8 @@
             target.running -= 1
         duration = self.clock.elapsed() - started_at
         target.record_duration(duration.total_seconds(), self.clock.elapsed())
+        if self.queues.admits(attempts):
+            await self.queues.record_response(attempts, duration)
         check_signature(labelled)
         return labelled
 
--- a/packages/rollouts/sequoia_rollouts/live/live_retries.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_retries.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import curio
 from attrs import field, frozen
 from sequoia_policy.budgets import RetryBudget
 from sequoia_policy.clocks import Clock
@@ -11,11 +12,13 @@
 from sequoia_policy.verdicts import Verdict
 
 from sequoia_rollouts.live.live_attempts import RETRY_AFTER, LiveAttempts
+from sequoia_rollouts.live.live_queues import LiveQueues
 from sequoia_rollouts.live.live_targets import LiveTargets
 from sequoia_rollouts.live.quarantines import Quarantine
 
 MAX_REFUSALS = 12  # "not run" responses per request
 MIN_TIME_LEFT = timedelta(milliseconds=15)  # needed for another attempt
+REFUSAL_BACKOFF = timedelta(milliseconds=15)  # if all targets refused
 RETRY_SHARE = 0.2  # retries per request
 MAX_HANDED_ON_BYTES = 700_000  # of a body; hosts read messages of 1 MiB
 
@@ -27,6 +30,7 @@
     clock: Clock
     targets: LiveTargets
     quarantine: Quarantine
+    queues: LiveQueues
     budget: RetryBudget = field(factory=lambda: RetryBudget(RETRY_SHARE))
 
     async def handle_failure(
@@ -42,7 +46,7 @@
         """
         await self.record_failure(attempts, target, failure)
         self._check_retry(attempts, failure)
-        await self.targets.back_off(attempts, failure)
+        await self._back_off(attempts, failure)
 
     async def record_failure(
         self,
@@ -73,6 +77,25 @@
             return False
         return facts.is_safe and has_attempts_left
 
+    async def _back_off(
+        self, attempts: LiveAttempts, failure: ServiceError
+    ) -> None:
+        """Wait after a refusal if no usable target is untried.
+
+        Raises:
+            ServiceError: If the request should not wait.
+        """
+        is_queued = self.queues.admits(attempts)
+        are_many_full = is_queued and len(attempts.tried) > MAX_REFUSALS
+        if not are_many_full:
+            if not self.targets.are_all_tried(attempts, failure):
+                return
+        attempts.tried.clear()
+        if is_queued:
+            await self.queues.wait(attempts)
+        else:
+            await curio.sleep(REFUSAL_BACKOFF.total_seconds())
+
     def _has_peers(self) -> bool:
         """Return whether another coordinator is alive."""
         heartbeats = self.quarantine.heartbeats
@@ -81,7 +104,7 @@
     def _check_retry(
         self, attempts: LiveAttempts, failure: ServiceError
     ) -> None:
-        if failure.code is Code.DRAINING or attempts.refusals > MAX_REFUSALS:
+        if failure.code is Code.DRAINING or self._is_spent(attempts, failure):
             raise self._make_final_error(attempts, failure)
         is_quarantined = self.quarantine.is_quarantined(attempts.request)
         if is_quarantined or self.may_hand_on(attempts):
@@ -93,6 +116,12 @@
         if find_retry_refusal(facts, failure.code, self.budget):
             raise self._make_final_error(attempts, failure)
 
+    def _is_spent(self, attempts: LiveAttempts, failure: ServiceError) -> bool:
+        """Return whether a request was refused too often."""
+        if failure.code is Code.TARGET_REFUSED and self.queues.admits(attempts):
+            return False  # the queue limits its time
+        return attempts.refusals > MAX_REFUSALS
+
     def _make_final_error(
         self,
         attempts: LiveAttempts,
--- a/packages/rollouts/sequoia_rollouts/live/live_targets.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_targets.py
@@ -3,7 +3,6 @@
 import random
 from datetime import timedelta
 
-import curio
 from attrs import frozen
 from sequoia_policy.clocks import Clock
 from sequoia_policy.errors import Code, ServiceError
@@ -22,8 +21,6 @@
 from sequoia_rollouts.live.live_attempts import RETRY_AFTER, LiveAttempts
 from sequoia_rollouts.live.stop_guards import StopGuard
 
-REFUSAL_BACKOFF = timedelta(milliseconds=15)
-
 log = Log('live')
 ATTEMPT_FAILED = log.event(
     'attempt failed',
@@ -125,20 +122,18 @@
         """Record that a target has not responded for longer than usual."""
         self.directory.registry.path.record_failure(target.name)
 
-    async def back_off(
+    def are_all_tried(
         self, attempts: LiveAttempts, failure: ServiceError
-    ) -> None:
-        """Wait after a refusal if no usable target is untried.
+    ) -> bool:
+        """Return whether a refusal leaves no usable target untried.
 
         Targets in backoff do not count: the others would be asked again and
         again without a pause.
         """
         if failure.code is not Code.TARGET_REFUSED:
-            return
+            return False
         usable = self._find_open(attempts, self.clock.elapsed())
-        if {target.name for target in usable} <= attempts.tried:
-            attempts.tried.clear()
-            await curio.sleep(REFUSAL_BACKOFF.total_seconds())
+        return {target.name for target in usable} <= attempts.tried
 
     def _find_open(
         self, attempts: LiveAttempts, now: timedelta
--- a/packages/rollouts/tests/engine_standin.py
+++ b/packages/rollouts/tests/engine_standin.py
@@ -279,6 +279,8 @@
             marked as the first.
         refuses_second: Whether the server refuses requests if another server
             received the first one.
+        refuses_when_full: Whether the server refuses requests while all slots
+            are in use.
         received_first: Whether this server received the first request.
         free_slots: Semaphore with one permit per slot.
     """
@@ -288,6 +290,7 @@
     first_delay: float = 0
     site_servers: list = field(factory=list)
     refuses_second: bool = False
+    refuses_when_full: bool = False
     received_first: bool = False
     free_slots: curio.Semaphore = field(init=False)
 
@@ -308,7 +311,8 @@
         self.received_first = self.received_first or (
             bool(self.site_servers) and is_first
         )
-        if self.refuses_second and not self.received_first:
+        is_full = self.refuses_when_full and not self.free_slots.value
+        if is_full or (self.refuses_second and not self.received_first):
             await exchange.respond(
                 503, headers=encode_headers({'not-run': '1'})
             )
