--- a/packages/rollouts/sequoia_rollouts/live/live_attempts.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_attempts.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 from sequoia_policy.errors import ServiceError
 from sequoia_policy.memory_budgets import Reservation
+from sequoia_policy.live_queues import QueuedRequest
 from sequoia_policy.registries import RegisteredTarget
 from sequoia_policy.retries import AttemptFacts
 from sequoia_policy.routing import Route
@@ -92,6 +93,7 @@
             None before a response shows that.
         tried: Names of the targets whose attempts failed; cleared when no
             target of the service is untried after a refusal.
+        queued: Its place in the queue of the service; None if it never waited.
     """
 
     request: LiveRequest
@@ -107,6 +109,7 @@
     preferred_release: str = ''
     began_at: timedelta | None = None
     tried: set[str] = field(factory=set)
+    queued: QueuedRequest | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/rollouts/sequoia_rollouts/live/live_paths.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_paths.py
@@ -28,12 +28,12 @@
     LiveAttempts,
     LiveRequest,
 )
+from sequoia_rollouts.live.live_queues import LiveQueues
 from sequoia_rollouts.live.live_retries import LiveRetries
 from sequoia_rollouts.live.live_streams import StreamRelay
 from sequoia_rollouts.live.live_targets import LiveTargets
 from sequoia_rollouts.fleet.ownership import OwnershipTable
 from sequoia_rollouts.fleet.peer_keys import KeyRing
-from sequoia_rollouts.live.path_checks import PathReporter
 from sequoia_rollouts.live.quarantines import Quarantine
 from sequoia_rollouts.targets.senders import (
     MIN_UNSUCCESSFUL_STATUS,
@@ -83,6 +83,7 @@
     stop_guard: StopGuard = field(init=False)
     quarantine: Quarantine = field(init=False)
     releases: StreamReleases = field(init=False)
+    queues: LiveQueues = field(init=False)
     handoffs: HandoffSender = field(init=False)
     targets: LiveTargets = field(init=False)
     retries: LiveRetries = field(init=False)
@@ -124,7 +125,12 @@
         self.releases = build_stream_releases(
             self.clock, self.directory, self.ownership
         )
-        self.retries = LiveRetries(self.clock, self.targets, self.quarantine)
+        self.queues = LiveQueues(
+            self.clock, self.directory, self.stop_guard, self.rng
+        )
+        self.retries = LiveRetries(
+            self.clock, self.targets, self.quarantine, self.queues
+        )
         self.hedged_sender = HedgedSender(
             self.clock,
             self.targets,
@@ -147,6 +153,7 @@
         return (
             *self.quarantine.loops,
             *self.releases.splits.loops,
+            self.queues.run,
             self.handoffs.path_check.run,
         )
 
@@ -163,7 +170,7 @@
             self.handoffs.path,
             self.key_ring,
             self.respond,
-            PathReporter(self.handoffs.crash_check, self.key_ring),
+            self.handoffs.path_check.make_reporter(),
             others,
         )
 
@@ -272,6 +279,8 @@
 
     async def _try_until_answered(self, attempts: LiveAttempts) -> Response:
         response = None
+        if self.queues.admits(attempts):
+            await self.queues.enter(attempts)
         while response is None:
             response = await self._try_once(attempts)
         return response
@@ -311,9 +320,12 @@
         finally:
             target.running -= 1
         now = self.clock.elapsed()
+        duration = now - started_at
         usual = target.known_seconds(now)
         attempts.record_start(started_at, now, usual or 0)
-        target.record_duration((now - started_at).total_seconds(), now)
+        target.record_duration(duration.total_seconds(), now)
+        if self.queues.admits(attempts):
+            await self.queues.record_response(attempts, duration)
         check_signature(labelled)
         return labelled
 
--- a/packages/rollouts/sequoia_rollouts/live/path_checks.py
+++ b/packages/rollouts/sequoia_rollouts/live/path_checks.py
@@ -85,6 +85,10 @@
     client: HttpClient
     logged: tuple[bool, bool] = (False, False)
 
+    def make_reporter(self) -> 'PathReporter':
+        """Return what tells other hosts which targets this host reaches."""
+        return PathReporter(self.crash_check, self.key_ring)
+
     async def run(self) -> None:
         """Probe targets whenever that is due, until cancelled."""
         while True:
