--- a/packages/rollouts/tests/test_odd_rows.py
+++ b/packages/rollouts/tests/test_odd_rows.py
@@ -218,7 +218,7 @@
             results = await site.read_all_results(host)
             site.store.put('op', f'version/{MODEL}', make_version(2))
             await wait_until(lambda: site.engines[0].version == 2)
-            await host.sweeper.sweep()
+            await host.upkeep.sweeper.sweep()
             return live.status, len(results)
 
     assert curio.run(main) == (200, 6)
--- a/packages/rollouts/tests/test_path_releases.py
+++ b/packages/rollouts/tests/test_path_releases.py
@@ -84,7 +84,9 @@
             await site.submit(host)
             await wait_until(lambda: host.submission_handler.runners)
             await lose_targets(host)
-            await wait_until(lambda: host.path_release.release.is_released)
+            await wait_until(
+                lambda: host.upkeep.path_release.release.is_released
+            )
             await curio.sleep(0.5)
             runners = len(host.submission_handler.runners)
             reach_targets(host)
--- a/packages/rollouts/tests/test_progress.py
+++ b/packages/rollouts/tests/test_progress.py
@@ -197,7 +197,7 @@
                 owned,
                 ownership=evolve(owned.ownership, accepted=earlier),
             )
-            await host.sweeper.sweep()
+            await host.upkeep.sweeper.sweep()
             return stored, len(site.store.find('progress'))
 
     stored, remaining = curio.run(main)
--- a/packages/rollouts/tests/test_store_clock.py
+++ b/packages/rollouts/tests/test_store_clock.py
@@ -59,7 +59,7 @@
             await wait_until(lambda: host.heartbeats.store_clock.now())
             accepted = await site.submit(host)
             results = await site.read_all_results(host)
-            await site.hosts[0].sweeper.sweep()
+            await site.hosts[0].upkeep.sweeper.sweep()
             read = await site.call(host, 'GET', '/v1/lots/lot1')
             return refused, rows, accepted, results, read
 
@@ -83,9 +83,9 @@
             await site.submit(host)
             await site.read_all_results(host)
             host.heartbeats.store_clock.offset = None
-            await host.sweeper.sweep()
+            await host.upkeep.sweeper.sweep()
             host.heartbeats.store_clock.offset = timedelta(hours=9)
-            await host.sweeper.sweep()
+            await host.upkeep.sweeper.sweep()
             return (await site.call(host, 'GET', '/v1/lots/lot1')).status
 
     assert curio.run(main) == 200
--- a/packages/rollouts/tests/test_upkeep.py
+++ b/packages/rollouts/tests/test_upkeep.py
@@ -32,7 +32,7 @@
             await site.submit(host)
             await site.read_all_results(host)
             await site.call(host, 'DELETE', '/v1/lots/lot1')
-            await host.sweeper.sweep()
+            await host.upkeep.sweeper.sweep()
             stored = len(site.store.find('results'))
             owned = host.ownership.submissions['lot1']
             earlier = owned.ownership.accepted - timedelta(seconds=200)
@@ -40,7 +40,7 @@
                 owned,
                 ownership=evolve(owned.ownership, accepted=earlier),
             )
-            await host.sweeper.sweep()
+            await host.upkeep.sweeper.sweep()
             response = await site.call(host, 'GET', '/v1/lots/lot1')
             rows = [
                 key
