--- a/packages/policy/sequoia_policy/capacity_plans.py
+++ b/packages/policy/sequoia_policy/capacity_plans.py
@@ -31,9 +31,9 @@
 IDLE_SHARE = 0.35  # below which engines are given back
 RELEASE_INTERVAL = timedelta(seconds=30)
 # Growth that shortens no step is repeated only after this time.
-FRUITLESS_PAUSE = timedelta(seconds=300)
+INEFFECTIVE_PAUSE = timedelta(seconds=300)
 SPARE_INTERVAL = timedelta(seconds=20)  # between additional reclaimable ones
-MAX_FRUITLESS = 2
+MAX_INEFFECTIVE = 2
 EFFECTIVE_RATIO = 0.95
 
 
@@ -43,12 +43,12 @@
 
     Attributes:
         need: Share of their time that steps needed before.
-        fruitless: Number of additions in a row that shortened no step.
+        ineffective: Number of additions in a row that shortened no step.
     """
 
     at: timedelta = timedelta()
     need: float = math.inf
-    fruitless: int = 0
+    ineffective: int = 0
 
     def may_repeat(self, now: timedelta, need: float) -> bool:
         """Return whether engines may be added now.
@@ -57,14 +57,14 @@
             now: The present time.
             need: Share of their time that steps need; late ones need over 1.
         """
-        if self.fruitless < MAX_FRUITLESS or need > 1:
+        if self.ineffective < MAX_INEFFECTIVE or need > 1:
             return True
-        return now - self.at >= FRUITLESS_PAUSE
+        return now - self.at >= INEFFECTIVE_PAUSE
 
     def record(self, now: timedelta, need: float) -> None:
         """Record that engines are added."""
         has_helped = need < self.need * EFFECTIVE_RATIO
-        self.fruitless = 0 if has_helped else self.fruitless + 1
+        self.ineffective = 0 if has_helped else self.ineffective + 1
         self.need = need
         self.at = now
 
@@ -81,7 +81,7 @@
         settled_at: Steps that began before do not show what is needed.
         changed_at: When an engine was last missing or added.
         released_at: When an engine was last given back.
-        before_night: Engines that ran before some were given back because
+        count_before_idle: Engines that ran before some were given back because
             there were no steps; 0 if none were.
         spare_at: When a reclaimable engine was last added.
         need: Share of their time that steps needed when that was last asked.
@@ -99,7 +99,7 @@
     settled_at: timedelta = timedelta()
     changed_at: timedelta = timedelta()
     released_at: timedelta = timedelta()
-    before_night: int = 0
+    count_before_idle: int = 0
     spare_at: timedelta = timedelta()
     need: float = 0
 
@@ -179,7 +179,7 @@
             plan.begin()
         self.unplaced = 0
         self.growth = Growth()
-        self.before_night = 0
+        self.count_before_idle = 0
         self.changed_at = now
         excess = max(0, self.wanted - self.total.level)
         for other in self.pools.values():
@@ -211,9 +211,9 @@
     def _grow(self, now: timedelta) -> None:
         need = self._find_need(now)
         self.need = round(need, 2)
-        if self.before_night and self.history.running:
-            added = self.bounds.place(self.before_night - self.wanted, now)
-            self.before_night = 0
+        if self.count_before_idle and self.history.running:
+            added = self.bounds.place(self.count_before_idle - self.wanted, now)
+            self.count_before_idle = 0
         elif need > GROWTH_SHARE and self.growth.may_repeat(now, need):
             added = self._add(need, now)
         else:
@@ -267,7 +267,7 @@
         if self.bounds.release_one(now):
             self.released_at = now
             if not peak:
-                self.before_night = max(engines, self.before_night)
+                self.count_before_idle = max(engines, self.count_before_idle)
 
     def _choose_order(self, now: timedelta) -> PlannedOrder | None:
         """Return the due order for most engines; reductions come last."""
--- a/packages/rollouts/sequoia_rollouts/live/live_paths.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_paths.py
@@ -261,7 +261,7 @@
             try:
                 return await self._hand_on(attempts)
             except ServiceError as failure:
-                if not self.retries.may_send_despite_doubt(attempts, failure):
+                if not self.retries.may_send_when_suspected(attempts, failure):
                     raise
         try:
             return await self._try_until_answered(attempts)
--- a/packages/rollouts/sequoia_rollouts/live/live_retries.py
+++ b/packages/rollouts/sequoia_rollouts/live/live_retries.py
@@ -76,7 +76,7 @@
             return False
         return facts.is_safe and has_attempts_left
 
-    def may_send_despite_doubt(
+    def may_send_when_suspected(
         self, attempts: LiveAttempts, failure: ServiceError
     ) -> bool:
         """Return whether to use a suspected path after no peer took a request.
@@ -93,7 +93,7 @@
         """Check that a request that another host handed on may be sent.
 
         Raises:
-            ServiceError: If the path to targets is in doubt here too.
+            ServiceError: If the path to targets is suspected here too.
         """
         if attempts.request.is_handed_on and self._avoids_path(attempts):
             raise ServiceError(
