--- a/packages/policy/sequoia_policy/capacity_demands.py
+++ b/packages/policy/sequoia_policy/capacity_demands.py
@@ -111,21 +111,6 @@
         lasting = shares[-2] if len(shares) > 1 else 0
         return max(lasting, extrapolate(finished))
 
-    def find_work(self) -> float:
-        """Return how many engines the work in the open steps needs.
-
-        A step before which others wait is late before its share shows it.
-        """
-        load = self._find_load()
-        if not load:
-            return 0
-        engines = self.finished[-1].engines
-        return sum(
-            max(0, step.items * load - step.age.total_seconds() * engines)
-            / step.due.total_seconds()
-            for step in self._list_expected()
-        )
-
     def find_busy(self, now: timedelta) -> float:
         """Return how many engines the steps of the last seconds keep busy.
 
--- a/packages/policy/sequoia_policy/capacity_plans.py
+++ b/packages/policy/sequoia_policy/capacity_plans.py
@@ -21,11 +21,12 @@
 WATCH_TIME = timedelta(seconds=10)
 START_MARGIN = timedelta(seconds=2)
 WARM_UP = timedelta(seconds=1)  # in which a new engine loads weights
-GROWTH_SHARE = (
-    0.85  # of their time that steps need, from which engines are added
-)
+# Of their time that steps need, from which engines are added. Long texts make steps
+# take most of their time however many engines there are, and each engine that is
+# added loads all weights: only steps that are late show that engines lack.
+GROWTH_SHARE = 1
 GROWN_SHARE = 0.75  # that steps should need with the added engines
-SPARE_SHARE = 0.7  # from which reclaimable engines are added
+SPARE_SHARE = 0.95  # from which reclaimable engines are added
 MAX_BUSY = 0.85  # of the engines that the added ones leave busy on average
 MAX_GROWTH = 0.5  # of the engines that run
 IDLE_SHARE = 0.35  # below which engines are given back
@@ -229,10 +230,7 @@
         """Return the share of their time that steps need with what is wanted."""
         if not self.wanted:
             return 0
-        return max(
-            self.history.find_need(now, self.settled_at),
-            self.history.find_work() / self.wanted,
-        )
+        return self.history.find_need(now, self.settled_at)
 
     def _add(self, need: float, now: timedelta) -> int:
         """Add regular engines; return how many have room."""
--- a/packages/policy/sequoia_policy/target_paths.py
+++ b/packages/policy/sequoia_policy/target_paths.py
@@ -13,11 +13,13 @@
 from attrs import define, field, frozen
 
 MIN_FAILED = 2  # targets in a row
-SILENCE_LIMIT = timedelta(milliseconds=200)  # without a byte from any target
+# Without a byte from any target. Engines may need most of it for the first token,
+# and each probe is a new connection.
+SILENCE_LIMIT = timedelta(seconds=1)
 PROBE_INTERVAL = timedelta(milliseconds=200)  # while any target fails
 MAX_HEDGE_DELAY = timedelta(milliseconds=400)
 # While probes are answered and requests are slow, probes are rarer.
-SLOW_PROBE_INTERVAL = timedelta(milliseconds=500)
+SLOW_PROBE_INTERVAL = timedelta(seconds=1)
 
 
 @frozen
